--- /dev/null
+++ b/plantaintiller/backends/backend_duty.cpp
@@ -0,0 +1,129 @@
+#include "plantaintiller/backends/backend_duty.h"
+
+#include <glog/logging.h>
+
+#include <string>
+
+#include "plantaintiller/backends/attempt_batch.h"
+
+namespace plantaintiller::backends {
+
+backend_duty::backend_duty(boost::asio::io_context& context,
+                           core::channel<event>& events)
+    : context_(context), events_(events) {}
+
+backend_duty::~backend_duty() = default;
+
+void backend_duty::Do(const command& given) {
+  std::visit([this](const auto& each) { Do(each); }, given);
+}
+
+void backend_duty::Send(const event& happened) {
+  // The ring holds more events than there can be commands outstanding.
+  CHECK(events_.TrySend(happened)) << "backends: event ring is full";
+}
+
+const core::backend_server_settings* backend_duty::SettingsOf(
+    core::backend_server_id server) const {
+  const core::database_settings* database =
+      configuration_ == nullptr ? nullptr
+                                : configuration_->Find(server.database);
+  const bool known =
+      database != nullptr && server.slot < database->servers.size();
+  return known ? &database->servers[server.slot] : nullptr;
+}
+
+server_address backend_duty::AddressOf(
+    const core::backend_server_settings& settings,
+    const char* role) {
+  return {settings.host, settings.port, role};
+}
+
+void backend_duty::Do(const attempt_command& given) {
+  const core::backend_server_settings* settings = SettingsOf(given.work.server);
+  if (settings == nullptr) {
+    decisions::attempt_result result;
+    result.id = given.work.id;
+    result.server = given.work.server;
+    Send(attempt_event{result});
+    return;
+  }
+  std::unique_ptr<connection>& slot =
+      connections_[{given.work.server, given.work.connection}];
+  if (slot == nullptr) {
+    slot = std::make_unique<connection>(context_,
+                                        AddressOf(*settings, kStatementRole));
+  }
+  std::vector<batch_step> steps = attempt_batch::Build(given.work);
+  slot->Run(
+      steps, [this, work = given.work, steps](const batch_result& result) {
+        Send(attempt_event{attempt_batch::Interpret(work, steps, result)});
+      });
+}
+
+void backend_duty::Do(const close_command& given) {
+  connections_.erase({given.server, given.connection});
+}
+
+void backend_duty::Do(const probe_command& given) {
+  const core::backend_server_id server = given.probe.server;
+  const std::uint64_t id = given.probe.id;
+  const core::backend_server_settings* settings = SettingsOf(server);
+  if (settings == nullptr) {
+    Send(probe_event{server, id, false, {}});
+    return;
+  }
+  std::unique_ptr<connection>& slot = probes_[server];
+  // A connection still busy with the last probe has gone silent.
+  if (slot == nullptr || slot->IsBusy()) {
+    slot = std::make_unique<connection>(context_,
+                                        AddressOf(*settings, kControlRole));
+  }
+  slot->Run(
+      {attempt_batch::StateStep(given.probe.wait_term, given.probe.wait_offset,
+                                given.probe.max_wait)},
+      [this, server, id](const batch_result& result) {
+        const std::optional<core::server_state> state =
+            result.status == batch_status::kAnswered
+                ? attempt_batch::StateFrom(result.steps[0])
+                : std::nullopt;
+        Send(probe_event{server, id, state.has_value(),
+                         state.value_or(core::server_state())});
+      });
+}
+
+void backend_duty::Do(const order_command& given) {
+  const core::backend_server_id server = given.order.server;
+  const core::backend_server_settings* settings = SettingsOf(server);
+  const core::backend_server_settings* primary =
+      SettingsOf({server.database, given.order.primary});
+  if (settings == nullptr || primary == nullptr) {
+    return;
+  }
+  std::unique_ptr<connection>& slot = orders_[server];
+  if (slot == nullptr || slot->IsBusy()) {
+    slot = std::make_unique<connection>(context_,
+                                        AddressOf(*settings, kControlRole));
+  }
+  batch_step step;
+  step.sync_after = true;
+  step.params = {std::to_string(given.order.term)};
+  if (given.order.primary == server.slot) {
+    step.sql = "SELECT * FROM plantaintiller_promote($1)";
+  } else {
+    step.sql = "SELECT * FROM plantaintiller_follow($1, $2, $3)";
+    step.params.emplace_back(primary->host);
+    step.params.emplace_back(std::to_string(primary->port));
+  }
+  slot->Run({std::move(step)}, [this, server](const batch_result& result) {
+    if (result.status == batch_status::kAnswered) {
+      Send(order_event{server});
+    }
+  });
+}
+
+void backend_duty::Do(const configuration_command& given) {
+  configuration_ = given.configuration;
+}
+
+}  // namespace plantaintiller::backends
--- /dev/null
+++ b/plantaintiller/backends/backend_duty.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "plantaintiller/backends/connection.h"
+#include "plantaintiller/backends/messages.h"
+#include "plantaintiller/core/channel.h"
+
+namespace plantaintiller::backends {
+
+/// The duty that talks to backend servers: carries out the decisions' commands
+/// on connections that it opens as they are needed.
+class backend_duty {
+ public:
+  /// @param context of the duty's thread; all else is called on that thread.
+  backend_duty(boost::asio::io_context& context, core::channel<event>& events);
+  ~backend_duty();
+
+  /// Carries out one command.
+  void Do(const command& given);
+
+ private:
+  using connection_key = std::pair<core::backend_server_id, std::uint32_t>;
+
+  void Do(const attempt_command& given);
+  void Do(const close_command& given);
+  void Do(const probe_command& given);
+  void Do(const order_command& given);
+  void Do(const configuration_command& given);
+  void Send(const event& happened);
+  const core::backend_server_settings* SettingsOf(
+      core::backend_server_id server) const;
+  static server_address AddressOf(const core::backend_server_settings& settings,
+                                  const char* role);
+
+  boost::asio::io_context& context_;
+  core::channel<event>& events_;
+  std::shared_ptr<const core::configuration> configuration_;
+  std::map<connection_key, std::unique_ptr<connection>> connections_;
+  std::map<core::backend_server_id, std::unique_ptr<connection>> probes_;
+  std::map<core::backend_server_id, std::unique_ptr<connection>> orders_;
+};
+
+}  // namespace plantaintiller::backends
--- /dev/null
+++ b/plantaintiller/backends/messages.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+
+#include "plantaintiller/core/configuration.h"
+#include "plantaintiller/decisions/instance_actions.h"
+
+namespace plantaintiller::backends {
+
+/// @name Commands from the decisions
+/// @{
+struct attempt_command {
+  decisions::attempt work;
+};
+struct close_command {
+  core::backend_server_id server;
+  std::uint32_t connection = 0;
+};
+struct probe_command {
+  decisions::server_probe probe;
+};
+struct order_command {
+  decisions::server_order order;
+};
+/// Addresses of the backend servers.
+struct configuration_command {
+  std::shared_ptr<const core::configuration> configuration;
+};
+using command = std::variant<attempt_command,
+                             close_command,
+                             probe_command,
+                             order_command,
+                             configuration_command>;
+/// @}
+
+/// @name Events for the decisions
+/// @{
+struct attempt_event {
+  decisions::attempt_result result;
+};
+struct probe_event {
+  core::backend_server_id server;
+  std::uint64_t probe_id = 0;
+  bool answered = false;
+  core::server_state state;
+};
+struct order_event {
+  core::backend_server_id server;
+};
+using event = std::variant<attempt_event, probe_event, order_event>;
+/// @}
+
+}  // namespace plantaintiller::backends
--- /dev/null
+++ b/plantaintiller/callers/caller_service.cpp
@@ -0,0 +1,132 @@
+#include "plantaintiller/callers/caller_service.h"
+
+#include <array>
+#include <boost/leaf/handle_errors.hpp>
+#include <cinttypes>
+#include <cstdio>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace plantaintiller::callers {
+
+namespace {
+
+constexpr std::string_view kStatementsPath = "/v1/statements";
+constexpr std::string_view kTransactionsPath = "/v1/transactions";
+constexpr core::milliseconds kRetryWhenReady{500};
+constexpr core::milliseconds kRetryWhenFull{50};
+
+}  // namespace
+
+caller_service::caller_service(core::channel<statement_event>& statements,
+                               metrics::registry& metrics,
+                               std::uint64_t seed)
+    : statements_(statements), metrics_(metrics), random_(seed) {}
+
+boost::leaf::result<caller_service::route> caller_service::RouteOf(
+    const http::request& asked) {
+  const std::string_view target = asked.target;
+  if (asked.method != "POST") {
+    return boost::leaf::new_error(request_problem{
+        core::refusal_type::kBadRequest, "method", "expected POST"});
+  }
+  if (target == kStatementsPath) {
+    return route{core::statement_kind::kRun, {}};
+  }
+  if (target == kTransactionsPath) {
+    return route{core::statement_kind::kBegin, {}};
+  }
+  if (target.starts_with(kTransactionsPath) &&
+      target.substr(kTransactionsPath.size()).starts_with('/')) {
+    const std::string_view rest = target.substr(kTransactionsPath.size() + 1);
+    const std::size_t slash = rest.find('/');
+    const std::string_view verb =
+        slash == std::string_view::npos ? "" : rest.substr(slash + 1);
+    BOOST_LEAF_AUTO(transaction,
+                    ParseTransactionName(std::string(rest.substr(0, slash))));
+    if (verb == "statements") {
+      return route{core::statement_kind::kInTransaction, transaction};
+    }
+    if (verb == "commit") {
+      return route{core::statement_kind::kCommit, transaction};
+    }
+    if (verb == "rollback") {
+      return route{core::statement_kind::kRollback, transaction};
+    }
+  }
+  return boost::leaf::new_error(request_problem{core::refusal_type::kBadRequest,
+                                                "path", "no such resource"});
+}
+
+std::string caller_service::GenerateRequestId() {
+  std::array<char, 40> text{};
+  const std::uint64_t high = random_();
+  const std::uint64_t low = random_();
+  std::snprintf(text.data(), text.size(), "g-%016" PRIx64 "%016" PRIx64, high,
+                low);
+  return text.data();
+}
+
+void caller_service::Handle(const http::request& asked,
+                            http::responder respond) {
+  if (configuration_ == nullptr) {
+    caller_request nothing;
+    respond(FormatOutcome(
+        nothing, Refuse(core::refusal_type::kNotReady,
+                        core::effect_state::kNotRun, kRetryWhenReady)));
+    return;
+  }
+  std::optional<caller_request> request;
+  const std::shared_ptr<const core::configuration> configuration =
+      configuration_;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(path, RouteOf(asked));
+        BOOST_LEAF_ASSIGN(
+            request, ParseRequest(asked.body, path.kind, *configuration,
+                                  GenerateRequestId(), core::clock::now()));
+        request->work.transaction = path.transaction;
+        return {};
+      },
+      [&](const request_problem& problem) { respond(FormatProblem(problem)); },
+      [&] { respond(FormatProblem({})); });
+  if (request.has_value()) {
+    Submit(std::move(*request), std::move(respond));
+  }
+}
+
+void caller_service::Submit(caller_request request, http::responder respond) {
+  next_ticket_ += 1;
+  if (!statements_.TrySend({next_ticket_, request.work})) {
+    respond(FormatOutcome(request,
+                          Refuse(core::refusal_type::kInternalQueueFull,
+                                 core::effect_state::kNotRun, kRetryWhenFull)));
+    return;
+  }
+  pending_.emplace(next_ticket_,
+                   pending_request{std::move(request), std::move(respond)});
+}
+
+void caller_service::Do(const command& given) {
+  std::visit([this](const auto& each) { Do(each); }, given);
+}
+
+void caller_service::Do(const configuration_command& given) {
+  configuration_ = given.configuration;
+}
+
+void caller_service::Do(const answer_command& given) {
+  const auto found = pending_.find(given.ticket);
+  if (found == pending_.end()) {
+    return;
+  }
+  const pending_request answered = std::move(found->second);
+  pending_.erase(found);
+  metrics_.OnAnswer(answered.request.work, given.outcome,
+                    core::clock::now() - answered.request.work.arrived,
+                    given.outcome.at_primary);
+  answered.respond(FormatOutcome(answered.request, given.outcome));
+}
+
+}  // namespace plantaintiller::callers
--- /dev/null
+++ b/plantaintiller/callers/caller_service.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "plantaintiller/callers/messages.h"
+#include "plantaintiller/callers/statement_codec.h"
+#include "plantaintiller/core/channel.h"
+#include "plantaintiller/http/message.h"
+#include "plantaintiller/metrics/registry.h"
+
+namespace plantaintiller::callers {
+
+/// Callers' HTTP interface; docs/CALLERS.md describes it. All calls are on the
+/// callers' thread.
+class caller_service : public http::handler {
+ public:
+  /// @param seed for request ids of writes that bring none.
+  caller_service(core::channel<statement_event>& statements,
+                 metrics::registry& metrics,
+                 std::uint64_t seed);
+
+  void Handle(const http::request& asked, http::responder respond) override;
+  /// Carries out one command of the decisions.
+  void Do(const command& given);
+  /// Requests without an answer yet.
+  std::size_t Pending() const { return pending_.size(); }
+
+ private:
+  struct pending_request {
+    caller_request request;
+    http::responder respond;
+  };
+  struct route {
+    core::statement_kind kind = core::statement_kind::kRun;
+    core::transaction_id transaction;
+  };
+
+  static boost::leaf::result<route> RouteOf(const http::request& asked);
+  void Do(const answer_command& given);
+  void Do(const configuration_command& given);
+  void Submit(caller_request request, http::responder respond);
+  std::string GenerateRequestId();
+
+  core::channel<statement_event>& statements_;
+  metrics::registry& metrics_;
+  std::mt19937_64 random_;
+  std::shared_ptr<const core::configuration> configuration_;
+  std::uint64_t next_ticket_ = 0;
+  std::map<std::uint64_t, pending_request> pending_;
+};
+
+}  // namespace plantaintiller::callers
--- /dev/null
+++ b/plantaintiller/cli/option_set.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "plantaintiller/core/error.h"
+
+namespace plantaintiller::cli {
+
+/// What an option's value must be.
+enum class option_kind : std::uint8_t {
+  kText,
+  kNumber,
+  kFlag,
+  /// HOST:PORT with a numeric host.
+  kAddress,
+  /// ID@ZONE=HOST:PORT, several separated by commas.
+  kInstances,
+};
+
+/// An option of a command: `--name VALUE` or PLANTAINTILLER_NAME=VALUE.
+struct option {
+  std::string name;
+  option_kind kind = option_kind::kText;
+  std::string fallback;
+  std::string help;
+  bool required = false;
+  std::int64_t least = 0;
+  std::int64_t most = 0;
+};
+
+/// A numeric host and a port.
+struct address {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+/// Values of a command's options, checked.
+class option_values {
+ public:
+  std::string Text(const std::string& name) const { return values_.at(name); }
+  std::int64_t Number(const std::string& name) const;
+  bool Flag(const std::string& name) const;
+  address Address(const std::string& name) const;
+  /// Values separated by commas.
+  std::vector<std::string> List(const std::string& name) const;
+  /// Arguments that are not options.
+  const std::vector<std::string>& Arguments() const { return arguments_; }
+  /// Whether help was asked for.
+  bool WantsHelp() const { return wants_help_; }
+
+ private:
+  friend class option_set;
+  std::map<std::string, std::string> values_;
+  std::vector<std::string> arguments_;
+  bool wants_help_ = false;
+};
+
+/// The options of one command, read from flags and the environment.
+class option_set {
+ public:
+  explicit option_set(std::vector<option> options);
+
+  /// Reads flags and environment variables.
+  /// @param arguments without the program's and the command's names.
+  /// @return the values, or an error that names the setting, its value and what
+  /// is allowed: kUnknownSetting, kBadSetting, or kSettingClash when flag and
+  /// environment differ.
+  core::result<option_values> Parse(
+      const std::vector<std::string>& arguments) const;
+
+  /// Text that describes the options, a line each.
+  std::string Help() const;
+
+ private:
+  static std::string VariableOf(const std::string& name);
+  core::result<void> ReadFlags(const std::vector<std::string>& arguments,
+                               option_values& values) const;
+  core::result<void> ReadEnvironment(option_values& values) const;
+
+  std::vector<option> options_;
+};
+
+}  // namespace plantaintiller::cli
--- /dev/null
+++ b/plantaintiller/cli/standin_commands.cpp
@@ -0,0 +1,83 @@
+#include "plantaintiller/cli/standin_commands.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "plantaintiller/http/server.h"
+#include "plantaintiller/standin/backend_service.h"
+#include "plantaintiller/standin/platform_service.h"
+
+namespace plantaintiller::cli {
+
+namespace {
+
+option ListenOption() {
+  return {"listen",
+          option_kind::kAddress,
+          "127.0.0.1:0",
+          "Address to listen on; port 0 takes any.",
+          false,
+          0,
+          0};
+}
+
+void RunUntilSignal(boost::asio::io_context& context) {
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait(
+      [&context](const boost::system::error_code&, int) { context.stop(); });
+  context.run();
+}
+
+template <class listener>
+int ListenAndRun(boost::asio::io_context& context, listener& service) {
+  try {
+    const std::uint16_t port = service.Listen();
+    std::cout << "listening " << port << std::endl;
+  } catch (const boost::system::system_error& error) {
+    std::cerr << "cannot listen: " << error.what() << "\n";
+    return kExitFailure;
+  }
+  RunUntilSignal(context);
+  return kExitSuccess;
+}
+
+}  // namespace
+
+std::vector<option> standin_backend_command::Options() const {
+  return {ListenOption(),
+          {"connections", option_kind::kNumber, "16",
+           "Most connections for statements.", false, 1, 10000},
+          {"lag-ms", option_kind::kNumber, "0",
+           "Delay of replication, in milliseconds.", false, 0, 3600000}};
+}
+
+int standin_backend_command::Run(const option_values& values) {
+  standin::backend_settings settings;
+  const address listen = values.Address("listen");
+  settings.host = listen.host;
+  settings.port = listen.port;
+  settings.connections = static_cast<std::size_t>(values.Number("connections"));
+  settings.lag = core::milliseconds(values.Number("lag-ms"));
+  boost::asio::io_context context(1);
+  standin::backend_service service(context, settings);
+  return ListenAndRun(context, service);
+}
+
+std::vector<option> standin_platform_command::Options() const {
+  return {ListenOption()};
+}
+
+int standin_platform_command::Run(const option_values& values) {
+  const address listen = values.Address("listen");
+  http::server_settings settings;
+  settings.host = listen.host;
+  settings.port = listen.port;
+  boost::asio::io_context context(1);
+  standin::platform_service service(context);
+  http::server server(context, settings, service);
+  return ListenAndRun(context, server);
+}
+
+}  // namespace plantaintiller::cli
--- /dev/null
+++ b/plantaintiller/core/time.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+
+namespace plantaintiller::core {
+
+/// Monotonic clock used by every decision; tests replace it by virtual time.
+using clock = std::chrono::steady_clock;
+using time_point = clock::time_point;
+using duration = clock::duration;
+using std::chrono::milliseconds;
+
+/// Rounds a duration down to whole milliseconds.
+/// @param value any duration.
+/// @return the same span in milliseconds.
+inline milliseconds ToMilliseconds(duration value) {
+  return std::chrono::duration_cast<milliseconds>(value);
+}
+
+}  // namespace plantaintiller::core
--- /dev/null
+++ b/plantaintiller/decisions/faults.h
@@ -0,0 +1,40 @@
+#pragma once
+
+namespace plantaintiller::decisions {
+
+/// Faults that tests switch on to see that the invariant checker finds them.
+/// The build of the product has none of them on.
+struct planted_faults {
+  /// Acknowledges a write before the confirming set has it.
+  bool acknowledge_at_once = false;
+  /// Adds a member to the sets without raising the term.
+  bool grow_without_term = false;
+  /// Raises the term but adds the member to both sets only later.
+  bool grow_one_set_later = false;
+  /// Compares positions by the server's adopted term.
+  bool compare_adopted_term = false;
+  /// Compares positions by offset alone.
+  bool compare_offset_only = false;
+  /// Reports an unknown outcome as not run without a tombstone.
+  bool not_run_without_tombstone = false;
+  /// Counts a tombstone before it is confirmed.
+  bool unconfirmed_tombstone = false;
+  /// Returns a connection with an answer outstanding to the pool.
+  bool reuse_busy_connection = false;
+  /// Accepts a configuration of a lower version.
+  bool accept_older_configuration = false;
+  /// Trusts a replica's data to be current.
+  bool trust_replica_age = false;
+  /// Leaves out the request key of non-idempotent writes.
+  bool write_without_key = false;
+  /// Runs writes on a server of any term.
+  bool ignore_term = false;
+  /// Keeps sending new work to a leaving server.
+  bool use_leaving_server = false;
+  /// Drops requests in flight when shutting down.
+  bool drop_on_shutdown = false;
+  /// Sends an answer to the request that waits longest.
+  bool answer_oldest = false;
+};
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/group_keeper.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+#include "plantaintiller/core/group_record.h"
+#include "plantaintiller/core/ids.h"
+#include "plantaintiller/core/time.h"
+#include "plantaintiller/decisions/confirmation_tracker.h"
+#include "plantaintiller/decisions/faults.h"
+#include "plantaintiller/decisions/group_keeper_settings.h"
+#include "plantaintiller/decisions/instance_actions.h"
+
+namespace plantaintiller::decisions {
+
+/// Keeps one database's group record: detects a failed primary, proposes
+/// changes by compare-and-set, and orders servers into the current term.
+///
+/// Several instances keep the same record at the same time; the row's version
+/// decides between them, and each order is idempotent, so that any of them can
+/// finish what another began. ../docs/DESIGN.md gives the scheme.
+class group_keeper {
+ public:
+  /// @param database whose record to keep; @param servers number of its
+  /// backend servers; @param seed for jitter.
+  group_keeper(core::database_id database,
+               core::slot_number servers,
+               const group_keeper_settings& settings,
+               const planted_faults& faults,
+               instance_actions& actions,
+               std::uint64_t seed);
+
+  /// Position of this instance among those that watch the database, from 0.
+  void SetRank(int rank) { rank_ = rank; }
+  /// Number of backend servers; it may grow with the configuration.
+  void SetServers(core::slot_number servers) { servers_ = servers; }
+  /// Marks servers that are leaving; none of them is promoted or added.
+  void SetLeaving(core::server_set leaving) { leaving_ = leaving; }
+
+  /// Row as read. @param record nothing if the row does not exist.
+  void OnRow(const std::optional<core::group_record>& record,
+             core::time_point now);
+  /// The platform did not answer a read.
+  void OnRowUnavailable(core::time_point now);
+  /// Answer to the last SwapGroupRecord.
+  /// @param current row as the platform has it; set on kApplied and kConflict.
+  void OnSwap(swap_status status,
+              const std::optional<core::group_record>& current,
+              core::time_point now);
+
+  /// A server answered a probe, an order or an attempt.
+  void OnState(core::slot_number slot,
+               const core::server_state& state,
+               core::time_point sent_at,
+               core::time_point now);
+  /// Another instance heard from a server at `heard_at`.
+  void OnPeerReport(core::slot_number slot, core::time_point heard_at);
+
+  /// Something shows that a later term than the record's exists.
+  void OnTermSeen(core::term_number term);
+
+  /// Proposes and orders whatever is due. Call every few milliseconds.
+  void OnTick(core::time_point now);
+
+  const core::group_record& Record() const { return record_; }
+  const confirmation_tracker& Tracker() const { return tracker_; }
+  core::database_id Database() const { return database_; }
+  core::slot_number Servers() const { return servers_; }
+
+  /// Whether a server has answered within the failure timeout.
+  bool IsAlive(core::slot_number slot, core::time_point now) const;
+  /// When a server last answered this instance.
+  core::time_point LastHeard(core::slot_number slot) const;
+  /// Whether the current primary has adopted the current term.
+  bool IsPrimaryReady() const;
+  /// An answer waits for this offset; held-up members may be taken out.
+  void OnConfirmationNeeded(std::uint64_t offset, core::time_point now);
+
+ private:
+  struct member {
+    bool known = false;
+    core::server_state state;
+    core::time_point first_missed;
+    core::time_point last_heard;
+    core::time_point peer_heard;
+    core::time_point last_order;
+    // Since when the member has been close behind the primary.
+    std::optional<core::time_point> close_since;
+    // Since when the member has held up a needed confirmation.
+    std::optional<core::time_point> behind_since;
+  };
+
+  void Adopt(const core::group_record& record);
+  void Propose(core::group_record record,
+               decision_kind kind,
+               core::slot_number about,
+               core::time_point now);
+  void ReadRow(core::time_point now);
+  void ProposeFirstRecord(core::time_point now);
+  bool ProposePromotion(core::time_point now);
+  bool ProposeShrink(core::time_point now);
+  bool ProposeAdmit(core::time_point now);
+  bool ProposeGrow(core::time_point now);
+  void OrderServers(core::time_point now);
+  void NoteProgress(core::time_point now);
+  bool HeardByPeers(core::slot_number slot, core::time_point now) const;
+  core::duration Backoff();
+
+  core::database_id database_;
+  core::slot_number servers_;
+  const group_keeper_settings& settings_;
+  const planted_faults& faults_;
+  instance_actions& actions_;
+  std::mt19937_64 random_;
+
+  int rank_ = 0;
+  core::server_set leaving_;
+  core::group_record record_;
+  confirmation_tracker tracker_;
+  std::array<member, core::kMaxSlots> members_{};
+
+  bool started_ = false;
+  bool row_wanted_ = true;
+  bool platform_busy_ = false;
+  int failures_ = 0;
+  core::time_point next_access_;
+  // Record that was proposed and whose fate is not known.
+  std::optional<core::group_record> proposed_;
+  std::uint64_t needed_offset_ = 0;
+};
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/group_keeper_settings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+
+#include "plantaintiller/core/time.h"
+
+namespace plantaintiller::decisions {
+
+/// Patience of the decisions about one database's group record.
+struct group_keeper_settings {
+  /// Silence after which a server counts as failed.
+  core::milliseconds failure_timeout{900};
+  /// Added per rank, so that one instance usually proposes first.
+  core::milliseconds rank_delay{150};
+  /// How long a confirming server may hold up answers before it is taken out.
+  core::milliseconds confirm_patience{600};
+  /// How long a server must keep up before it joins the confirming set.
+  core::milliseconds join_after{1500};
+  /// Entries by which a joining server may be behind.
+  std::uint64_t join_lag = 64;
+  /// Delay before an unanswered order or row access is repeated.
+  core::milliseconds retry_delay{200};
+  /// Longest delay between tries while the platform is unavailable.
+  core::milliseconds longest_retry_delay{2000};
+};
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/instance_decider.cpp
@@ -0,0 +1,493 @@
+#include "plantaintiller/decisions/instance_decider.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaintiller::decisions {
+
+using core::effect_state;
+using core::refusal_type;
+
+namespace {
+constexpr core::milliseconds kRetryElsewhere{10};
+constexpr core::milliseconds kRetryWhenReady{500};
+constexpr core::milliseconds kPlacementInterval{250};
+constexpr core::milliseconds kPullInterval{200};
+}  // namespace
+
+instance_decider::instance_decider(const instance_decider_settings& settings,
+                                   instance_actions& actions,
+                                   std::uint64_t seed)
+    : settings_(settings),
+      actions_(actions),
+      random_(seed),
+      membership_(settings_.self, settings_.zone, settings_.members),
+      executor_(settings_.self,
+                settings_.executor,
+                settings_.faults,
+                actions,
+                *this),
+      router_(settings_.router,
+              settings_.faults,
+              settings_.self,
+              *this,
+              actions,
+              seed + 1) {}
+
+instance_decider::~instance_decider() = default;
+
+void instance_decider::OnCallerStatement(std::uint64_t ticket,
+                                         const core::statement& work,
+                                         core::time_point now) {
+  const bool goes_on = work.kind == core::statement_kind::kInTransaction ||
+                       work.kind == core::statement_kind::kCommit ||
+                       work.kind == core::statement_kind::kRollback;
+  if (draining_ && !goes_on) {
+    actions_.AnswerCaller(
+        ticket, Refuse(refusal_type::kShuttingDown, effect_state::kNotRun,
+                       kRetryElsewhere));
+    return;
+  }
+  if (!IsReady()) {
+    actions_.AnswerCaller(ticket,
+                          Refuse(refusal_type::kNotReady, effect_state::kNotRun,
+                                 kRetryWhenReady));
+    return;
+  }
+  router_.OnRequest(ticket, work, now);
+}
+
+void instance_decider::OnForwarded(core::instance_id from,
+                                   const forwarded_statement& work,
+                                   core::time_point now) {
+  const work_origin origin{from, work.ticket};
+  group_keeper* keeper = KeeperOf(work.work.database);
+  if (keeper == nullptr || work.slot >= keeper->Servers()) {
+    core::statement_outcome outcome = Refuse(
+        refusal_type::kNoExecutor, effect_state::kNotRun, kRetryElsewhere);
+    outcome.server = {work.work.database, work.slot};
+    OnExecuted(origin, outcome, now);
+    return;
+  }
+  keeper->OnTermSeen(work.work.token.entry_term);
+  executor_.Submit(origin, work.work, work.slot, *keeper, now);
+}
+
+void instance_decider::OnForwardedReply(const forwarded_reply& reply,
+                                        core::time_point now) {
+  router_.OnOutcome(reply.ticket, reply.outcome, reply.known_term,
+                    reply.known_primary, now);
+}
+
+void instance_decider::OnForwardLost(std::uint64_t ticket,
+                                     core::time_point now) {
+  router_.OnForwardLost(ticket, now);
+}
+
+void instance_decider::OnHeartbeat(const heartbeat& beat,
+                                   core::time_point now) {
+  membership_.OnHeartbeat(beat.from, beat.leaving, now);
+  for (const server_report& report : beat.reports) {
+    if (group_keeper* keeper = KeeperOf(report.server.database)) {
+      keeper->OnPeerReport(report.server.slot, now - report.heard_ago);
+    }
+  }
+  const bool behind = beat.configuration_version > configuration_.Version() ||
+                      settings_.faults.accept_older_configuration;
+  if (behind && now >= next_pull_) {
+    next_pull_ = now + kPullInterval;
+    actions_.PullConfiguration(beat.from);
+  }
+}
+
+void instance_decider::OnAttemptResult(const attempt_result& result,
+                                       core::time_point now) {
+  executor_.OnAttemptResult(result, now);
+  const auto found = watched_.find(result.server.database);
+  if (found != watched_.end()) {
+    executor_.OnKeeperChanged(*found->second.keeper, now);
+    ProbeServers(found->second, now);
+  }
+}
+
+void instance_decider::OnProbeAnswer(core::backend_server_id server,
+                                     std::uint64_t probe_id,
+                                     const core::server_state& state,
+                                     core::time_point now) {
+  const auto found = watched_.find(server.database);
+  if (found == watched_.end() || server.slot >= found->second.probers.size()) {
+    return;
+  }
+  watched_database& watched = found->second;
+  const std::optional<core::time_point> sent_at =
+      watched.probers[server.slot].OnAnswer(probe_id);
+  if (!sent_at.has_value()) {
+    return;
+  }
+  watched.keeper->OnState(server.slot, state, *sent_at, now);
+  executor_.OnKeeperChanged(*watched.keeper, now);
+  ProbeServers(watched, now);
+}
+
+void instance_decider::OnProbeFailed(core::backend_server_id server,
+                                     std::uint64_t probe_id) {
+  const auto found = watched_.find(server.database);
+  if (found != watched_.end() && server.slot < found->second.probers.size()) {
+    found->second.probers[server.slot].OnFailure(probe_id);
+  }
+}
+
+void instance_decider::OnOrderDone(core::backend_server_id server) {
+  const auto found = watched_.find(server.database);
+  if (found != watched_.end() && server.slot < found->second.probers.size()) {
+    found->second.probers[server.slot].Hurry();
+  }
+}
+
+void instance_decider::OnGroupRecord(
+    core::database_id database,
+    const std::optional<core::group_record>& record,
+    core::time_point now) {
+  if (const auto found = watched_.find(database); found != watched_.end()) {
+    found->second.keeper->OnRow(record, now);
+    executor_.OnKeeperChanged(*found->second.keeper, now);
+  }
+}
+
+void instance_decider::OnGroupRecordUnavailable(core::database_id database,
+                                                core::time_point now) {
+  if (const auto found = watched_.find(database); found != watched_.end()) {
+    found->second.keeper->OnRowUnavailable(now);
+  }
+}
+
+void instance_decider::OnSwap(core::database_id database,
+                              swap_status status,
+                              const std::optional<core::group_record>& current,
+                              core::time_point now) {
+  if (const auto found = watched_.find(database); found != watched_.end()) {
+    found->second.keeper->OnSwap(status, current, now);
+    executor_.OnKeeperChanged(*found->second.keeper, now);
+  }
+}
+
+void instance_decider::OnConfiguration(
+    const std::shared_ptr<const core::configuration>& offered,
+    core::time_point now) {
+  if (!configuration_.Offer(offered,
+                            settings_.faults.accept_older_configuration)) {
+    return;
+  }
+  actions_.NoteDecision({decision_kind::kAdoptConfiguration,
+                         core::backend_server_id(), settings_.self,
+                         offered->version});
+  PlaceConnections(now);
+}
+
+void instance_decider::OnInstanceList(
+    const std::vector<core::instance_entry>& list,
+    core::time_point now) {
+  membership_.OnList(list, now);
+}
+
+void instance_decider::Drain(core::time_point now) {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  leave_at_ = now + settings_.drain_notice;
+  SendHeartbeats(now);
+}
+
+std::size_t instance_decider::Unfinished() const {
+  return router_.Unfinished() + executor_.Unfinished();
+}
+
+bool instance_decider::IsIdle() const {
+  return Unfinished() == 0;
+}
+
+const group_keeper* instance_decider::Keeper(core::database_id database) const {
+  const auto found = watched_.find(database);
+  return found == watched_.end() ? nullptr : found->second.keeper.get();
+}
+
+int instance_decider::Connections(core::backend_server_id server) const {
+  return executor_.Connections(server);
+}
+
+void instance_decider::OnTick(core::time_point now) {
+  if (draining_ && now >= leave_at_) {
+    membership_.Leave();
+  }
+  if (membership_.OnTick(now)) {
+    OnMembersChanged(now);
+  }
+  if (now >= next_placement_) {
+    PlaceConnections(now);
+  }
+  if (now >= next_heartbeat_) {
+    SendHeartbeats(now);
+  }
+  ReadPlatform(now);
+  KeepRecords(now);
+  executor_.OnTick(now);
+  router_.OnTick(now);
+}
+
+void instance_decider::OnMembersChanged(core::time_point now) {
+  std::vector<core::instance_id> reachable;
+  for (const core::instance_id peer : membership_.Peers()) {
+    if (membership_.IsReachable(peer)) {
+      reachable.push_back(peer);
+    }
+  }
+  std::swap(reachable, reachable_);
+  for (const core::instance_id peer : reachable) {
+    if (std::ranges::find(reachable_, peer) == reachable_.end()) {
+      actions_.NoteDecision(
+          {decision_kind::kPeerLost, core::backend_server_id(), peer, 0});
+      actions_.DropPeer(peer);
+      router_.OnPeerLost(peer, now);
+    }
+  }
+  for (const core::instance_id peer : reachable_) {
+    if (std::ranges::find(reachable, peer) == reachable.end()) {
+      actions_.NoteDecision(
+          {decision_kind::kPeerFound, core::backend_server_id(), peer, 0});
+    }
+  }
+  PlaceConnections(now);
+}
+
+void instance_decider::KeepRecords(core::time_point now) {
+  for (auto& [database, watched] : watched_) {
+    if (!watched.placed_here && !executor_.HasWaiting(database)) {
+      continue;
+    }
+    watched.keeper->OnTick(now);
+    ProbeServers(watched, now);
+  }
+}
+
+void instance_decider::ProbeServers(watched_database& watched,
+                                    core::time_point now) {
+  const core::database_id database = watched.keeper->Database();
+  const core::group_record& record = watched.keeper->Record();
+  probe_need need;
+  need.any = executor_.HasWaiting(database);
+  if (need.any) {
+    need.offset = executor_.NeededOffset(database);
+    need.asked_since = executor_.NeededFreshness(database);
+  }
+  for (core::slot_number slot = 0; slot < watched.probers.size(); ++slot) {
+    const probe_need slot_need =
+        record.confirming.Contains(slot) ? need : probe_need();
+    const std::optional<server_probe> probe = watched.probers[slot].Next(
+        slot_need, record.term, watched.keeper->Tracker().OffsetOf(slot), now);
+    if (probe.has_value()) {
+      actions_.ProbeServer(*probe);
+    }
+  }
+}
+
+void instance_decider::SendHeartbeats(core::time_point now) {
+  next_heartbeat_ = now + settings_.members.heartbeat_interval;
+  heartbeat beat;
+  beat.from = settings_.self;
+  beat.leaving = draining_;
+  beat.configuration_version = configuration_.Version();
+  for (const auto& [database, watched] : watched_) {
+    for (core::slot_number slot = 0; slot < watched.keeper->Servers(); ++slot) {
+      if (watched.keeper->IsAlive(slot, now)) {
+        beat.reports.push_back(
+            {{database, slot},
+             core::ToMilliseconds(now - watched.keeper->LastHeard(slot))});
+      }
+    }
+  }
+  for (const core::instance_id peer : membership_.Peers()) {
+    actions_.SendHeartbeat(peer, beat);
+  }
+}
+
+bool instance_decider::ReadsForZone() const {
+  // The first two instances of the zone, by id, read for the others.
+  int before = 0;
+  for (const placement_candidate& each : membership_.Candidates()) {
+    if (each.zone == settings_.zone && each.id < settings_.self) {
+      before += 1;
+    }
+  }
+  return before < 2;
+}
+
+void instance_decider::ReadPlatform(core::time_point now) {
+  if (now >= next_configuration_read_) {
+    const core::milliseconds interval =
+        ReadsForZone() || !IsReady() ? settings_.configuration_interval
+                                     : settings_.far_configuration_interval;
+    std::uniform_int_distribution<std::int64_t> jitter(interval.count() / 2,
+                                                       interval.count());
+    next_configuration_read_ = now + core::milliseconds(jitter(random_));
+    actions_.ReadConfiguration(configuration_.Version());
+  }
+  if (now >= next_list_read_) {
+    next_list_read_ = now + settings_.list_interval;
+    actions_.ReadInstanceList();
+  }
+}
+
+bool instance_decider::IsCutOff(const core::backend_server_settings& settings,
+                                core::backend_server_id server,
+                                core::time_point now) {
+  if (!settings.leaving || settings_.faults.use_leaving_server) {
+    leaving_since_.erase(server);
+    return false;
+  }
+  const core::time_point since =
+      leaving_since_.try_emplace(server, now).first->second;
+  const group_keeper* keeper = Keeper(server.database);
+  const bool is_primary = keeper != nullptr && keeper->Record().term != 0 &&
+                          keeper->Record().primary == server.slot;
+  return !is_primary || now - since >= settings_.leaving_grace;
+}
+
+void instance_decider::PlaceConnections(core::time_point now) {
+  next_placement_ = now + kPlacementInterval;
+  const std::shared_ptr<const core::configuration> current =
+      configuration_.Current();
+  if (current == nullptr) {
+    return;
+  }
+  for (const core::database_settings& database : current->databases) {
+    for (core::slot_number slot = 0; slot < database.servers.size(); ++slot) {
+      PlaceServer(database, slot, now);
+    }
+    WatchDatabase(database);
+  }
+}
+
+void instance_decider::PlaceServer(const core::database_settings& database,
+                                   core::slot_number slot,
+                                   core::time_point now) {
+  const core::backend_server_id server{database.id, slot};
+  const core::backend_server_settings& settings = database.servers[slot];
+  std::vector<core::instance_id> holders;
+  if (!IsCutOff(settings, server, now)) {
+    holders = connection_placement::Holders(server, settings.zone,
+                                            membership_.Candidates());
+  }
+  const auto mine = std::ranges::find(holders, settings_.self);
+  const int share = connection_placement::Share(
+      database.connections, static_cast<std::size_t>(mine - holders.begin()),
+      holders.size());
+  holders_[server] = std::move(holders);
+  if (share == executor_.Connections(server)) {
+    return;
+  }
+  actions_.NoteDecision({decision_kind::kPlaceConnections, server,
+                         settings_.self, static_cast<std::uint64_t>(share)});
+  executor_.SetConnections(server, share, now);
+}
+
+void instance_decider::WatchDatabase(const core::database_settings& database) {
+  bool placed_here = false;
+  core::server_set leaving;
+  for (core::slot_number slot = 0; slot < database.servers.size(); ++slot) {
+    const std::vector<core::instance_id>& holders =
+        holders_[{database.id, slot}];
+    placed_here = placed_here ||
+                  std::ranges::find(holders, settings_.self) != holders.end();
+    if (database.servers[slot].leaving &&
+        !settings_.faults.use_leaving_server) {
+      leaving = leaving.With(slot);
+    }
+  }
+  const auto servers = static_cast<core::slot_number>(database.servers.size());
+  auto found = watched_.find(database.id);
+  if (found == watched_.end()) {
+    if (!placed_here) {
+      return;
+    }
+    found = watched_.try_emplace(database.id).first;
+    found->second.keeper =
+        std::make_unique<group_keeper>(database.id, servers, settings_.keeper,
+                                       settings_.faults, actions_, random_());
+  }
+  watched_database& watched = found->second;
+  watched.placed_here = placed_here;
+  watched.keeper->SetServers(servers);
+  watched.keeper->SetLeaving(leaving);
+  watched.keeper->SetRank(RankAmongWatchers(database));
+  while (watched.probers.size() < servers) {
+    const auto slot = static_cast<core::slot_number>(watched.probers.size());
+    watched.probers.emplace_back(core::backend_server_id{database.id, slot},
+                                 settings_.prober);
+  }
+}
+
+int instance_decider::RankAmongWatchers(
+    const core::database_settings& database) {
+  std::vector<core::instance_id> before;
+  for (core::slot_number slot = 0; slot < database.servers.size(); ++slot) {
+    for (const core::instance_id holder : holders_[{database.id, slot}]) {
+      if (holder == settings_.self) {
+        return static_cast<int>(before.size());
+      }
+      if (std::ranges::find(before, holder) == before.end()) {
+        before.push_back(holder);
+      }
+    }
+  }
+  return static_cast<int>(before.size());
+}
+
+bool instance_decider::IsWatched(core::database_id database) const {
+  const auto found = watched_.find(database);
+  return found != watched_.end() && found->second.placed_here;
+}
+
+void instance_decider::OnExecuted(const work_origin& origin,
+                                  const core::statement_outcome& outcome,
+                                  core::time_point now) {
+  const core::database_id database = outcome.server.database;
+  const group_keeper* keeper = Keeper(database);
+  const core::group_record record =
+      keeper == nullptr ? core::group_record() : keeper->Record();
+  if (origin.instance == settings_.self) {
+    router_.OnOutcome(origin.ticket, outcome, record.term, record.primary, now);
+    return;
+  }
+  actions_.ReplyToPeer(origin.instance,
+                       {origin.ticket, outcome, record.term, record.primary});
+}
+
+const core::database_settings* instance_decider::SettingsOf(
+    core::database_id database) const {
+  const std::shared_ptr<const core::configuration> current =
+      configuration_.Current();
+  return current == nullptr ? nullptr : current->Find(database);
+}
+
+group_keeper* instance_decider::KeeperOf(core::database_id database) {
+  return IsWatched(database) ? watched_.at(database).keeper.get() : nullptr;
+}
+
+const std::vector<core::instance_id>& instance_decider::HoldersOf(
+    core::backend_server_id server) {
+  return holders_[server];
+}
+
+bool instance_decider::IsReachable(core::instance_id peer) const {
+  return membership_.IsReachable(peer);
+}
+
+void instance_decider::SubmitLocally(std::uint64_t handle,
+                                     const core::statement& work,
+                                     core::slot_number slot,
+                                     core::time_point now) {
+  OnForwarded(settings_.self, {handle, slot, work}, now);
+}
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/request_router.cpp
@@ -0,0 +1,393 @@
+#include "plantaintiller/decisions/request_router.h"
+
+#include <algorithm>
+
+namespace plantaintiller::decisions {
+
+using core::effect_state;
+using core::milliseconds;
+using core::refusal_type;
+using core::statement_kind;
+
+namespace {
+constexpr milliseconds kRetryAfterFailure{250};
+}  // namespace
+
+request_router::request_router(const router_settings& settings,
+                               const planted_faults& faults,
+                               core::instance_id self,
+                               router_host& host,
+                               instance_actions& actions,
+                               std::uint64_t seed)
+    : settings_(settings),
+      faults_(faults),
+      self_(self),
+      host_(host),
+      actions_(actions),
+      random_(seed),
+      requests_(settings.capacity) {}
+
+bool request_router::IsPinned(const core::statement& work) {
+  return work.kind == statement_kind::kInTransaction ||
+         work.kind == statement_kind::kCommit ||
+         work.kind == statement_kind::kRollback;
+}
+
+bool request_router::IsRetryable(refusal_type type) {
+  switch (type) {
+    case refusal_type::kNoPrimary:
+    case refusal_type::kNoEligibleServer:
+    case refusal_type::kNoExecutor:
+    case refusal_type::kConnectionLost:
+    case refusal_type::kSuperseded:
+      return true;
+    default:
+      return false;
+  }
+}
+
+replica_success::read_kind request_router::KindOf(const core::statement& work) {
+  return work.max_staleness > milliseconds(0)
+             ? replica_success::read_kind::kAnyAge
+             : replica_success::read_kind::kCurrent;
+}
+
+void request_router::OnRequest(std::uint64_t ticket,
+                               const core::statement& work,
+                               core::time_point now) {
+  refusal_type problem = refusal_type::kNone;
+  milliseconds retry_after(0);
+  if (host_.SettingsOf(work.database) == nullptr) {
+    problem = refusal_type::kUnknownDatabase;
+  } else if (now >= work.deadline) {
+    problem = refusal_type::kDeadlineTooShort;
+  } else if (requests_.Full()) {
+    problem = refusal_type::kOverloaded;
+    retry_after = kRetryAfterFailure;
+  }
+  if (problem != refusal_type::kNone) {
+    actions_.AnswerCaller(ticket,
+                          Refuse(problem, effect_state::kNotRun, retry_after));
+    return;
+  }
+  budget_.OnRequest();
+  request item;
+  item.ticket = ticket;
+  item.work = work;
+  const std::uint64_t handle = requests_.Add(std::move(item));
+  Route(handle, *requests_.Find(handle), now);
+}
+
+core::slot_number request_router::PrimaryOf(core::database_id database) {
+  const hint& told = hints_[database];
+  const group_keeper* keeper = host_.KeeperOf(database);
+  if (keeper != nullptr && keeper->Record().term >= told.term) {
+    return keeper->Record().primary;
+  }
+  return told.primary;
+}
+
+std::optional<core::instance_id> request_router::HolderOf(
+    core::backend_server_id server) {
+  const std::vector<core::instance_id>& holders = host_.HoldersOf(server);
+  if (std::ranges::find(holders, self_) != holders.end()) {
+    return self_;
+  }
+  std::vector<core::instance_id>::const_iterator first = holders.begin();
+  if (holders.size() > 1) {
+    // Spreads the load over the holders.
+    first += static_cast<std::ptrdiff_t>(random_() % holders.size());
+  }
+  for (std::size_t n = 0; n < holders.size(); ++n) {
+    if (host_.IsReachable(*first)) {
+      return *first;
+    }
+    ++first;
+    if (first == holders.end()) {
+      first = holders.begin();
+    }
+  }
+  return std::nullopt;
+}
+
+bool request_router::MayAnswer(const request& item,
+                               core::slot_number slot,
+                               core::time_point now) {
+  const core::backend_server_id server{item.work.database, slot};
+  const group_keeper* keeper = host_.KeeperOf(item.work.database);
+  if (keeper != nullptr) {
+    if (!keeper->IsAlive(slot, now)) {
+      return false;
+    }
+    const std::optional<core::duration> age =
+        keeper->Tracker().AgeOf(slot, now);
+    const bool too_old = item.work.max_staleness > milliseconds(0) &&
+                         (!age.has_value() || *age > item.work.max_staleness);
+    if (too_old) {
+      return false;
+    }
+  }
+  if (success_.Chance(server, KindOf(item.work)) >= settings_.least_chance) {
+    return true;
+  }
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  return draw(random_) < settings_.explore;
+}
+
+std::optional<core::slot_number> request_router::ReplicaFor(
+    const request& item,
+    core::time_point now) {
+  const core::database_settings& settings =
+      *host_.SettingsOf(item.work.database);
+  const core::slot_number primary = PrimaryOf(item.work.database);
+  std::optional<core::slot_number> chosen;
+  bool chosen_is_near = false;
+  std::uint64_t ties = 0;
+  for (core::slot_number slot = 0; slot < settings.servers.size(); ++slot) {
+    const core::backend_server_settings& server = settings.servers[slot];
+    if (slot == primary || (server.leaving && !faults_.use_leaving_server)) {
+      continue;
+    }
+    const bool near = server.zone == host_.Zone();
+    if ((chosen.has_value() && chosen_is_near && !near) ||
+        !MayAnswer(item, slot, now)) {
+      continue;
+    }
+    ties = near && !chosen_is_near ? 1 : ties + 1;
+    // Picks each of the equally near with the same probability.
+    if (ties == 1 || random_() % ties == 0) {
+      chosen = slot;
+      chosen_is_near = near;
+    }
+  }
+  return chosen;
+}
+
+void request_router::Route(std::uint64_t handle,
+                           request& item,
+                           core::time_point now) {
+  if (IsPinned(item.work) && !item.resolving) {
+    Send(handle, item, 0, now);
+    return;
+  }
+  const bool may_use_replica = item.work.kind == statement_kind::kRun &&
+                               item.work.access == core::access_kind::kRead &&
+                               !item.avoid_replicas;
+  if (may_use_replica) {
+    const std::optional<core::slot_number> replica = ReplicaFor(item, now);
+    if (replica.has_value()) {
+      item.at_replica = true;
+      Send(handle, item, *replica, now);
+      return;
+    }
+  }
+  item.at_replica = false;
+  Send(handle, item, PrimaryOf(item.work.database), now);
+}
+
+void request_router::Send(std::uint64_t handle,
+                          request& item,
+                          core::slot_number slot,
+                          core::time_point now) {
+  const core::backend_server_id server{item.work.database, slot};
+  std::optional<core::instance_id> executor;
+  if (IsPinned(item.work) && !item.resolving) {
+    executor = item.work.transaction.executor;
+    if (*executor != self_ && !host_.IsReachable(*executor)) {
+      executor.reset();
+    }
+  } else {
+    executor = HolderOf(server);
+  }
+  if (!executor.has_value()) {
+    item.at_replica = false;
+    OnRefusal(handle, item,
+              Refuse(refusal_type::kNoExecutor, effect_state::kNotRun,
+                     kRetryAfterFailure),
+              now);
+    return;
+  }
+  item.state = phase::kRunning;
+  item.slot = slot;
+  item.executor = *executor;
+  item.tries += 1;
+  core::statement work = item.work;
+  if (item.resolving) {
+    work.kind = statement_kind::kResolve;
+    work.transaction = core::transaction_id();
+  }
+  const bool write = work.access == core::access_kind::kWrite;
+  if (write) {
+    work.deadline = std::min({work.deadline, now + settings_.attempt_timeout,
+                              now + (work.deadline - now) * 3 / 5});
+  }
+  const decision_kind kind = item.resolving    ? decision_kind::kResolveOutcome
+                             : write           ? decision_kind::kRouteWrite
+                             : item.at_replica ? decision_kind::kRouteReplica
+                                               : decision_kind::kRoutePrimary;
+  actions_.NoteDecision({kind, server, *executor, 0});
+  if (*executor == self_) {
+    host_.SubmitLocally(handle, work, slot, now);
+  } else {
+    actions_.ForwardStatement(*executor, {handle, slot, work});
+  }
+}
+
+void request_router::OnOutcome(std::uint64_t handle,
+                               const core::statement_outcome& outcome,
+                               core::term_number known_term,
+                               core::slot_number known_primary,
+                               core::time_point now) {
+  request* item = requests_.Find(handle);
+  if (item == nullptr || item->state != phase::kRunning) {
+    return;
+  }
+  hint& told = hints_[item->work.database];
+  if (known_term > told.term) {
+    told = {known_term, known_primary};
+    if (group_keeper* keeper = host_.KeeperOf(item->work.database)) {
+      keeper->OnTermSeen(known_term);
+    }
+  }
+  if (item->at_replica) {
+    const bool overloaded = outcome.refusal == refusal_type::kOverloaded;
+    success_.OnRead({item->work.database, item->slot}, KindOf(item->work),
+                    outcome.Succeeded() || overloaded);
+  }
+  if (outcome.Succeeded()) {
+    Answer(handle, outcome);
+    return;
+  }
+  OnRefusal(handle, *item, outcome, now);
+}
+
+void request_router::OnRefusal(std::uint64_t handle,
+                               request& item,
+                               const core::statement_outcome& outcome,
+                               core::time_point now) {
+  const bool unknown = outcome.effect == effect_state::kOutcomeUnknown;
+  item.may_have_run = item.may_have_run || unknown;
+  item.last_refusal = outcome.refusal;
+  if (outcome.refusal == refusal_type::kCancelled) {
+    // A confirmed tombstone: no attempt took effect, and none will.
+    item.may_have_run = false;
+    Answer(handle, outcome);
+    return;
+  }
+  const bool write = item.work.access == core::access_kind::kWrite;
+  if (write && item.may_have_run) {
+    OnUnknownWrite(handle, item, outcome.refusal, now);
+    return;
+  }
+  if (!write && item.at_replica && !IsPinned(item.work) &&
+      IsRetryable(outcome.refusal)) {
+    // The replica could not answer; the primary can.
+    item.avoid_replicas = true;
+    Route(handle, item, now);
+    return;
+  }
+  const bool retry = IsRetryable(outcome.refusal) && !IsPinned(item.work) &&
+                     now + settings_.first_delay < item.work.deadline &&
+                     parked_ < settings_.parked;
+  if (!retry) {
+    Answer(handle, outcome);
+    return;
+  }
+  const bool waits_for_primary = outcome.refusal == refusal_type::kNoPrimary ||
+                                 outcome.refusal == refusal_type::kSuperseded;
+  if (!waits_for_primary && !budget_.TryTake()) {
+    Answer(handle, outcome);
+    return;
+  }
+  // Another replica, or this one again, may be able to answer by then.
+  item.avoid_replicas = false;
+  Park(item, now);
+}
+
+void request_router::OnUnknownWrite(std::uint64_t handle,
+                                    request& item,
+                                    refusal_type why,
+                                    core::time_point now) {
+  const bool can_resolve = item.work.has_key &&
+                           now + settings_.first_delay < item.work.deadline &&
+                           parked_ < settings_.parked;
+  if (!can_resolve) {
+    AnswerRefusal(handle, why, kRetryAfterFailure);
+    return;
+  }
+  item.resolving = true;
+  Park(item, now);
+}
+
+void request_router::Park(request& item, core::time_point now) {
+  const int doublings = std::min(item.tries, 4);
+  const milliseconds ceiling = std::min(
+      settings_.first_delay * (1 << doublings), settings_.longest_delay);
+  std::uniform_int_distribution<std::int64_t> jitter(
+      settings_.first_delay.count(), ceiling.count());
+  item.state = phase::kParked;
+  item.retry_at = now + milliseconds(jitter(random_));
+  parked_ += 1;
+}
+
+void request_router::Answer(std::uint64_t handle,
+                            core::statement_outcome outcome) {
+  const request* item = requests_.Find(handle);
+  const bool settled = outcome.Succeeded() ||
+                       outcome.refusal == refusal_type::kCancelled ||
+                       outcome.refusal == refusal_type::kStatementFailed;
+  if (!settled && outcome.effect != effect_state::kRolledBack) {
+    outcome.effect = item->may_have_run ? effect_state::kOutcomeUnknown
+                                        : effect_state::kNotRun;
+  }
+  const std::uint64_t ticket = item->ticket;
+  if (item->state == phase::kParked && item->retry_at != core::time_point()) {
+    parked_ -= 1;
+  }
+  requests_.Remove(handle);
+  actions_.AnswerCaller(ticket, outcome);
+}
+
+void request_router::AnswerRefusal(std::uint64_t handle,
+                                   refusal_type type,
+                                   milliseconds retry_after) {
+  Answer(handle, Refuse(type, effect_state::kNotRun, retry_after));
+}
+
+void request_router::OnForwardLost(std::uint64_t handle, core::time_point now) {
+  OnOutcome(handle,
+            Refuse(refusal_type::kConnectionLost, effect_state::kOutcomeUnknown,
+                   kRetryAfterFailure),
+            0, 0, now);
+}
+
+void request_router::OnPeerLost(core::instance_id peer, core::time_point now) {
+  requests_.ForEach([&](std::uint64_t handle, request& item) {
+    if (item.state == phase::kRunning && item.executor == peer) {
+      OnForwardLost(handle, now);
+    }
+  });
+}
+
+void request_router::OnTick(core::time_point now) {
+  requests_.ForEach([&](std::uint64_t handle, request& item) {
+    if (now >= item.work.deadline) {
+      // What is running may yet take effect.
+      item.may_have_run = item.may_have_run || item.state == phase::kRunning;
+      const bool parked_reason = item.state == phase::kParked &&
+                                 item.last_refusal != refusal_type::kNone;
+      AnswerRefusal(
+          handle,
+          parked_reason ? item.last_refusal : refusal_type::kDeadlineExceeded,
+          kRetryAfterFailure);
+      return;
+    }
+    if (item.state == phase::kParked && now >= item.retry_at) {
+      parked_ -= 1;
+      item.retry_at = core::time_point();
+      Route(handle, item, now);
+    }
+  });
+}
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/request_router.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+
+#include "plantaintiller/core/slot_pool.h"
+#include "plantaintiller/core/statement.h"
+#include "plantaintiller/decisions/faults.h"
+#include "plantaintiller/decisions/instance_actions.h"
+#include "plantaintiller/decisions/replica_success.h"
+#include "plantaintiller/decisions/retry_budget.h"
+#include "plantaintiller/decisions/router_host.h"
+
+namespace plantaintiller::decisions {
+
+/// Limits of the router.
+struct router_settings {
+  /// Most callers' requests at a time.
+  std::size_t capacity = 8192;
+  /// Most requests that wait for a retry at a time.
+  std::size_t parked = 2048;
+  /// Shortest and longest delay before a retry.
+  core::milliseconds first_delay{20};
+  core::milliseconds longest_delay{200};
+  /// Longest time for one attempt of a write, so that its outcome can be found
+  /// out before the request's deadline.
+  core::milliseconds attempt_timeout{2000};
+  /// Chance below which a replica is not tried, but for a few explorations.
+  double least_chance = 0.6;
+  /// Share of reads that try a replica of low chance all the same.
+  double explore = 0.03;
+};
+
+/// Carries each caller's request to one final answer: chooses the backend
+/// server and the instance that holds its connections, repeats what may be
+/// repeated, and finds out what became of a write whose answer was lost.
+class request_router {
+ public:
+  request_router(const router_settings& settings,
+                 const planted_faults& faults,
+                 core::instance_id self,
+                 router_host& host,
+                 instance_actions& actions,
+                 std::uint64_t seed);
+
+  /// Takes a caller's request. @param ticket names it in AnswerCaller.
+  void OnRequest(std::uint64_t ticket,
+                 const core::statement& work,
+                 core::time_point now);
+  /// Outcome of an attempt. @param handle as given with the attempt.
+  /// @param known_term term and primary that the executor knows; 0 for none.
+  void OnOutcome(std::uint64_t handle,
+                 const core::statement_outcome& outcome,
+                 core::term_number known_term,
+                 core::slot_number known_primary,
+                 core::time_point now);
+  /// A forwarded statement may never be answered.
+  void OnForwardLost(std::uint64_t handle, core::time_point now);
+  /// A peer is gone, and all that was forwarded to it.
+  void OnPeerLost(core::instance_id peer, core::time_point now);
+  /// Starts retries and ends what is past its deadline.
+  void OnTick(core::time_point now);
+
+  /// Requests without an answer yet.
+  std::size_t Unfinished() const { return requests_.Size(); }
+
+ private:
+  enum class phase : std::uint8_t { kRunning, kParked };
+  struct request {
+    std::uint64_t ticket = 0;
+    core::statement work;
+    phase state = phase::kParked;
+    bool resolving = false;
+    bool may_have_run = false;
+    bool avoid_replicas = false;
+    bool at_replica = false;
+    int tries = 0;
+    core::slot_number slot = 0;
+    core::instance_id executor;
+    core::time_point retry_at;
+    core::refusal_type last_refusal = core::refusal_type::kNone;
+  };
+  struct hint {
+    core::term_number term = 0;
+    core::slot_number primary = 0;
+  };
+
+  void Route(std::uint64_t handle, request& item, core::time_point now);
+  void Send(std::uint64_t handle,
+            request& item,
+            core::slot_number slot,
+            core::time_point now);
+  std::optional<core::instance_id> HolderOf(core::backend_server_id server);
+  core::slot_number PrimaryOf(core::database_id database);
+  std::optional<core::slot_number> ReplicaFor(const request& item,
+                                              core::time_point now);
+  bool MayAnswer(const request& item,
+                 core::slot_number slot,
+                 core::time_point now);
+  void Park(request& item, core::time_point now);
+  void Answer(std::uint64_t handle, core::statement_outcome outcome);
+  void AnswerRefusal(std::uint64_t handle,
+                     core::refusal_type type,
+                     core::milliseconds retry_after);
+  void OnUnknownWrite(std::uint64_t handle,
+                      request& item,
+                      core::refusal_type why,
+                      core::time_point now);
+  void OnRefusal(std::uint64_t handle,
+                 request& item,
+                 const core::statement_outcome& outcome,
+                 core::time_point now);
+  static bool IsRetryable(core::refusal_type type);
+  static bool IsPinned(const core::statement& work);
+  static replica_success::read_kind KindOf(const core::statement& work);
+
+  const router_settings& settings_;
+  const planted_faults& faults_;
+  core::instance_id self_;
+  router_host& host_;
+  instance_actions& actions_;
+  std::mt19937_64 random_;
+  core::slot_pool<request> requests_;
+  std::size_t parked_ = 0;
+  retry_budget budget_{0.2, 200.0};
+  replica_success success_;
+  std::map<core::database_id, hint> hints_;
+};
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/router_host.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "plantaintiller/core/configuration.h"
+#include "plantaintiller/core/statement.h"
+#include "plantaintiller/decisions/group_keeper.h"
+
+namespace plantaintiller::decisions {
+
+/// What the router needs to know of the instance that it runs in.
+class router_host {
+ public:
+  virtual ~router_host() = default;
+
+  /// Settings of a database. @return null if there is none of that id.
+  virtual const core::database_settings* SettingsOf(
+      core::database_id database) const = 0;
+  /// Keeper of a database. @return null if this instance does not watch it.
+  virtual group_keeper* KeeperOf(core::database_id database) = 0;
+  /// Instances that hold connections to a server, best first.
+  virtual const std::vector<core::instance_id>& HoldersOf(
+      core::backend_server_id server) = 0;
+  /// Whether a peer can be sent work.
+  virtual bool IsReachable(core::instance_id peer) const = 0;
+  /// Availability zone of this instance.
+  virtual core::zone_id Zone() const = 0;
+  /// Runs a statement on this instance's own connections.
+  virtual void SubmitLocally(std::uint64_t handle,
+                             const core::statement& work,
+                             core::slot_number slot,
+                             core::time_point now) = 0;
+};
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/server_prober.cpp
@@ -0,0 +1,55 @@
+#include "plantaintiller/decisions/server_prober.h"
+
+namespace plantaintiller::decisions {
+
+server_prober::server_prober(core::backend_server_id server,
+                             const prober_settings& settings)
+    : server_(server), settings_(settings) {}
+
+std::optional<server_probe> server_prober::Next(
+    const probe_need& need,
+    core::term_number term,
+    std::optional<std::uint64_t> known_offset,
+    core::time_point now) {
+  if (outstanding_ && now - sent_at_ < settings_.timeout) {
+    return std::nullopt;
+  }
+  const bool lacks_offset = need.any && known_offset.value_or(0) < need.offset;
+  const bool lacks_time = need.any && sent_at_ < need.asked_since;
+  const core::milliseconds pause = lacks_offset || lacks_time
+                                       ? settings_.busy_interval
+                                       : settings_.idle_interval;
+  if (!outstanding_ && !hurried_ && now - sent_at_ < pause) {
+    return std::nullopt;
+  }
+  outstanding_ = true;
+  hurried_ = false;
+  last_id_ += 1;
+  sent_at_ = now;
+  server_probe probe;
+  probe.id = last_id_;
+  probe.server = server_;
+  if (lacks_offset && !lacks_time && known_offset.has_value()) {
+    // The server answers as soon as it has anything new.
+    probe.wait_term = term;
+    probe.wait_offset = *known_offset + 1;
+    probe.max_wait = settings_.max_wait;
+  }
+  return probe;
+}
+
+std::optional<core::time_point> server_prober::OnAnswer(std::uint64_t id) {
+  if (!outstanding_ || id != last_id_) {
+    return std::nullopt;
+  }
+  outstanding_ = false;
+  return sent_at_;
+}
+
+void server_prober::OnFailure(std::uint64_t id) {
+  if (id == last_id_) {
+    outstanding_ = false;
+  }
+}
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/statement_executor.cpp
@@ -0,0 +1,675 @@
+#include "plantaintiller/decisions/statement_executor.h"
+
+#include <algorithm>
+
+namespace plantaintiller::decisions {
+
+namespace {
+
+using core::effect_state;
+using core::milliseconds;
+using core::refusal_type;
+using core::statement_kind;
+
+constexpr milliseconds kRetrySoon{50};
+constexpr milliseconds kRetryLater{250};
+
+attempt_kind AttemptFor(const core::statement& work) {
+  switch (work.kind) {
+    case statement_kind::kRun:
+      return work.access == core::access_kind::kRead ? attempt_kind::kRead
+                                                     : attempt_kind::kWrite;
+    case statement_kind::kResolve:
+      return attempt_kind::kTombstone;
+    case statement_kind::kBegin:
+      return attempt_kind::kBegin;
+    case statement_kind::kInTransaction:
+      return attempt_kind::kInTransaction;
+    case statement_kind::kCommit:
+      return attempt_kind::kCommit;
+    case statement_kind::kRollback:
+      return attempt_kind::kRollback;
+  }
+  return attempt_kind::kRead;
+}
+
+}  // namespace
+
+statement_executor::server_pool::server_pool(int count, std::size_t capacity)
+    : queue(count, capacity),
+      limit(static_cast<std::size_t>(count)),
+      connections(limit) {}
+
+statement_executor::statement_executor(core::instance_id self,
+                                       const executor_settings& settings,
+                                       const planted_faults& faults,
+                                       instance_actions& actions,
+                                       executor_listener& listener)
+    : self_(self),
+      settings_(settings),
+      faults_(faults),
+      actions_(actions),
+      listener_(listener),
+      works_(settings.capacity),
+      transactions_(settings.transactions) {}
+
+statement_executor::~statement_executor() = default;
+
+bool statement_executor::IsWrite(attempt_kind kind) {
+  return kind == attempt_kind::kWrite || kind == attempt_kind::kTombstone ||
+         kind == attempt_kind::kCommit;
+}
+
+void statement_executor::SetConnections(core::backend_server_id server,
+                                        int connections,
+                                        core::time_point now) {
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) {
+    if (connections > 0) {
+      pools_.try_emplace(server, connections, settings_.queue_capacity);
+    }
+    return;
+  }
+  server_pool& pool = found->second;
+  const auto limit = static_cast<std::size_t>(connections);
+  if (pool.limit == limit) {
+    return;
+  }
+  pool.limit = limit;
+  pool.queue.SetConnections(connections);
+  if (pool.connections.size() < limit) {
+    pool.connections.resize(limit);
+  }
+  for (std::size_t n = limit; n < pool.connections.size(); ++n) {
+    if (!pool.connections[n].busy) {
+      actions_.CloseConnection(server, static_cast<std::uint32_t>(n));
+    }
+  }
+  if (limit > 0) {
+    Dispatch(server, now);
+    return;
+  }
+  while (const std::optional<std::uint64_t> handle = pool.queue.PopAny()) {
+    Finish(*handle,
+           Refuse(refusal_type::kNoExecutor, effect_state::kNotRun, kRetrySoon),
+           now);
+  }
+}
+
+int statement_executor::Connections(core::backend_server_id server) const {
+  const auto found = pools_.find(server);
+  return found == pools_.end() ? 0 : static_cast<int>(found->second.limit);
+}
+
+statement_executor::server_pool* statement_executor::PoolOf(
+    core::backend_server_id server) {
+  const auto found = pools_.find(server);
+  return found == pools_.end() ? nullptr : &found->second;
+}
+
+group_keeper* statement_executor::KeeperOf(core::database_id database) {
+  const auto found = keepers_.find(database);
+  return found == keepers_.end() ? nullptr : found->second;
+}
+
+void statement_executor::Submit(const work_origin& origin,
+                                const core::statement& work,
+                                core::slot_number slot,
+                                group_keeper& keeper,
+                                core::time_point now) {
+  keepers_[work.database] = &keeper;
+  work_item item;
+  item.origin = origin;
+  item.work = work;
+  item.slot = slot;
+  item.kind = AttemptFor(work);
+  item.started = now;
+  if (work.kind == statement_kind::kInTransaction ||
+      work.kind == statement_kind::kCommit ||
+      work.kind == statement_kind::kRollback) {
+    SubmitInTransaction(std::move(item), now);
+    return;
+  }
+  const core::backend_server_id server{work.database, slot};
+  server_pool* pool = PoolOf(server);
+  if (pool == nullptr || pool->limit == 0) {
+    RefuseNow(item, refusal_type::kNoExecutor, kRetrySoon, now);
+    return;
+  }
+  if (!CheckPlace(item, keeper, now) || !Admit(*pool, item, now)) {
+    return;
+  }
+  Dispatch(server, now);
+}
+
+bool statement_executor::CheckPlace(const work_item& item,
+                                    const group_keeper& keeper,
+                                    core::time_point now) {
+  const core::group_record& record = keeper.Record();
+  const bool needs_primary = item.kind != attempt_kind::kRead;
+  refusal_type problem = refusal_type::kNone;
+  if (record.term == 0) {
+    problem = refusal_type::kNoPrimary;
+  } else if (needs_primary && item.slot != record.primary) {
+    problem = refusal_type::kSuperseded;
+  } else if (needs_primary && !keeper.IsPrimaryReady()) {
+    problem = refusal_type::kNoPrimary;
+  }
+  if (problem == refusal_type::kNone) {
+    return true;
+  }
+  RefuseNow(item, problem, kRetryLater, now);
+  return false;
+}
+
+void statement_executor::RefuseNow(const work_item& item,
+                                   refusal_type type,
+                                   milliseconds retry_after,
+                                   core::time_point now) {
+  core::statement_outcome outcome =
+      Refuse(type, effect_state::kNotRun, retry_after);
+  outcome.server = {item.work.database, item.slot};
+  listener_.OnExecuted(item.origin, outcome, now);
+}
+
+bool statement_executor::Admit(server_pool& pool,
+                               const work_item& item,
+                               core::time_point now) {
+  const core::request_class priority = item.work.priority;
+  const auto ahead =
+      static_cast<core::duration::rep>(pool.queue.Length(priority));
+  const core::duration::rep share =
+      std::max(1, pool.queue.ReservedShare(priority));
+  const core::duration wait = pool.service_time * ahead / share;
+  refusal_type problem = refusal_type::kNone;
+  if (now >= item.work.deadline) {
+    problem = refusal_type::kDeadlineExceeded;
+  } else if (works_.Full() || now + wait > item.work.deadline) {
+    problem = refusal_type::kOverloaded;
+  }
+  if (problem == refusal_type::kNone) {
+    const std::uint64_t handle = works_.Add(item);
+    if (pool.queue.Push(priority, handle)) {
+      return true;
+    }
+    works_.Remove(handle);
+    problem = refusal_type::kOverloaded;
+  }
+  const milliseconds retry_after =
+      std::max(kRetrySoon, core::ToMilliseconds(wait));
+  RefuseNow(item, problem, retry_after, now);
+  return false;
+}
+
+void statement_executor::Dispatch(core::backend_server_id server,
+                                  core::time_point now) {
+  while (true) {
+    server_pool* pool = PoolOf(server);
+    if (pool == nullptr) {
+      return;
+    }
+    const auto first = pool->connections.begin();
+    const auto last = first + static_cast<std::ptrdiff_t>(pool->limit);
+    const auto usable =
+        std::find_if(first, last, [now](const connection_slot& connection) {
+          return !connection.busy && connection.paused_until <= now;
+        });
+    if (usable == last) {
+      return;
+    }
+    const std::optional<std::uint64_t> handle = pool->queue.Pop();
+    if (!handle.has_value()) {
+      return;
+    }
+    work_item* item = works_.Find(*handle);
+    item->pooled = true;
+    usable->busy = true;
+    const auto connection = static_cast<std::uint32_t>(usable - first);
+    Start(*handle, *item, connection, now);
+  }
+}
+
+void statement_executor::Start(std::uint64_t handle,
+                               work_item& item,
+                               std::uint32_t connection,
+                               core::time_point now) {
+  const group_keeper& keeper = *keepers_[item.work.database];
+  item.state = work_state::kRunning;
+  item.connection = connection;
+  item.term = keeper.Record().term;
+  item.started = now;
+  attempt work;
+  work.id = handle;
+  work.server = {item.work.database, item.slot};
+  work.connection = connection;
+  work.kind = item.kind;
+  work.term = item.term;
+  work.work = item.work;
+  if (faults_.write_without_key) {
+    work.work.has_key = false;
+  }
+  actions_.RunAttempt(work);
+}
+
+void statement_executor::GiveBack(work_item& item,
+                                  bool close,
+                                  core::time_point now) {
+  if (!item.pooled) {
+    return;
+  }
+  item.pooled = false;
+  const core::backend_server_id server{item.work.database, item.slot};
+  FreeConnection(server, item.connection, item.work.priority, close);
+  if (!close) {
+    server_pool* pool = PoolOf(server);
+    pool->service_time = (pool->service_time * 7 + (now - item.started)) / 8;
+  }
+}
+
+void statement_executor::FreeConnection(core::backend_server_id server,
+                                        std::uint32_t connection,
+                                        core::request_class priority,
+                                        bool close) {
+  server_pool* pool = PoolOf(server);
+  pool->connections[connection].busy = false;
+  pool->queue.Release(priority);
+  if (close || connection >= pool->limit) {
+    actions_.CloseConnection(server, connection);
+  }
+}
+
+void statement_executor::OnAttemptResult(const attempt_result& result,
+                                         core::time_point now) {
+  work_item* item = works_.Find(result.id);
+  if (item == nullptr || item->state != work_state::kRunning) {
+    return;
+  }
+  group_keeper& keeper = *KeeperOf(item->work.database);
+  item->status = result.status;
+  item->seen = result.state;
+  item->result = result.result;
+  const core::backend_server_id server = result.server;
+  const bool lost = result.status == attempt_status::kConnectionLost ||
+                    result.status == attempt_status::kNotSent;
+  if (!lost) {
+    keeper.OnState(item->slot, result.state, item->started, now);
+  }
+  if (item->kind == attempt_kind::kBegin) {
+    OpenTransaction(result.id, *item, now);
+    Dispatch(server, now);
+    return;
+  }
+  if (item->work.transaction.number != 0) {
+    const std::uint64_t number = item->work.transaction.number;
+    open_transaction* open = transactions_.Find(number);
+    if (open != nullptr) {
+      open->busy = false;
+      open->last_used = now;
+      const bool done = result.status == attempt_status::kDone;
+      const bool ends = item->kind == attempt_kind::kCommit ||
+                        item->kind == attempt_kind::kRollback;
+      if (ends || !done) {
+        CloseTransaction(number, ends && done, now);
+      }
+    }
+  }
+  const bool refused = result.status == attempt_status::kTooManyConnections;
+  if (refused && item->pooled) {
+    PoolOf(server)->connections[item->connection].paused_until =
+        now + settings_.connection_pause;
+  }
+  GiveBack(*item, lost || refused, now);
+  item->state = work_state::kWaiting;
+  if (!TryRelease(result.id, *item, keeper, now)) {
+    waiting_[server.database].push_back(result.id);
+    keeper.OnConfirmationNeeded(item->seen.position.offset, now);
+  }
+  Dispatch(server, now);
+}
+
+core::statement_outcome statement_executor::Describe(
+    const work_item& item) const {
+  core::statement_outcome outcome;
+  outcome.server = {item.work.database, item.slot};
+  outcome.term = item.seen.adopted_term;
+  outcome.at_primary = item.seen.is_primary;
+  outcome.position = item.seen.position;
+  outcome.result = item.result;
+  outcome.transaction = item.work.transaction;
+  return outcome;
+}
+
+bool statement_executor::Covers(const work_item& item) const {
+  if (faults_.compare_offset_only) {
+    return item.seen.position.offset >= item.work.token.offset;
+  }
+  if (faults_.compare_adopted_term) {
+    return core::log_position{item.seen.adopted_term,
+                              item.seen.position.offset} >= item.work.token;
+  }
+  return item.seen.position >= item.work.token;
+}
+
+refusal_type statement_executor::UncoveredReason(const work_item& item,
+                                                 bool at_primary) const {
+  if (!at_primary) {
+    return refusal_type::kNoEligibleServer;
+  }
+  // A token of a later term than the primary's shows that this instance's view
+  // is old. One of the same term lies beyond the end of the log.
+  return item.work.token.entry_term > item.seen.adopted_term
+             ? refusal_type::kSuperseded
+             : refusal_type::kTokenFromFuture;
+}
+
+// Decides on an answer as far as is known. Returns false if it must wait.
+bool statement_executor::TryRelease(std::uint64_t handle,
+                                    work_item& item,
+                                    group_keeper& keeper,
+                                    core::time_point now) {
+  switch (item.status) {
+    case attempt_status::kWrongTerm:
+      Finish(
+          handle,
+          Refuse(refusal_type::kSuperseded, effect_state::kNotRun, kRetryLater),
+          now);
+      return true;
+    case attempt_status::kTooManyConnections:
+    case attempt_status::kNotSent:
+      Finish(handle,
+             Refuse(refusal_type::kConnectionLost, effect_state::kNotRun,
+                    kRetrySoon),
+             now);
+      return true;
+    case attempt_status::kConnectionLost:
+      Finish(handle,
+             Refuse(refusal_type::kConnectionLost, EffectIfLost(item.kind),
+                    kRetrySoon),
+             now);
+      return true;
+    case attempt_status::kStatementFailed: {
+      core::statement_outcome failed = Describe(item);
+      failed.refusal = refusal_type::kStatementFailed;
+      failed.effect = effect_state::kRolledBack;
+      Finish(handle, failed, now);
+      return true;
+    }
+    case attempt_status::kDone:
+    case attempt_status::kAlreadyDone:
+    case attempt_status::kTombstoned:
+    case attempt_status::kKeyReused:
+      break;
+  }
+  const bool write = IsWrite(item.kind);
+  const bool in_transaction = item.kind == attempt_kind::kInTransaction ||
+                              item.kind == attempt_kind::kRollback;
+  const bool skip_confirmation =
+      in_transaction || (write && faults_.acknowledge_at_once) ||
+      (item.kind == attempt_kind::kTombstone && faults_.unconfirmed_tombstone);
+  if (skip_confirmation) {
+    FinishConfirmed(handle, item, now);
+    return true;
+  }
+  const confirmation_tracker& tracker = keeper.Tracker();
+  if (item.seen.adopted_term != keeper.Record().term && !faults_.ignore_term) {
+    // The term ended before the position was confirmed in it.
+    Finish(handle,
+           Refuse(refusal_type::kSuperseded, effect_state::kOutcomeUnknown,
+                  kRetrySoon),
+           now);
+    return true;
+  }
+  if (!write) {
+    const bool at_primary = item.slot == keeper.Record().primary;
+    if (!Covers(item)) {
+      Finish(handle,
+             Refuse(UncoveredReason(item, at_primary),
+                    effect_state::kOutcomeUnknown, kRetryLater),
+             now);
+      return true;
+    }
+    const core::time_point since = item.work.arrived - item.work.max_staleness;
+    // The primary itself holds all that was acknowledged in its term, so only
+    // the term's validity at `since` is in question there.
+    const bool fresh =
+        at_primary ? tracker.ValidatedUntil() >= since
+                   : tracker.ProvesFreshness(item.seen.position.offset, since);
+    if (!fresh && !faults_.trust_replica_age) {
+      if (!at_primary &&
+          tracker.RefutesFreshness(item.seen.position.offset, since)) {
+        Finish(handle,
+               Refuse(refusal_type::kNoEligibleServer,
+                      effect_state::kOutcomeUnknown, kRetryLater),
+               now);
+        return true;
+      }
+      return false;
+    }
+  }
+  if (!tracker.IsConfirmed(item.seen.adopted_term, item.seen.position.offset)) {
+    return false;
+  }
+  FinishConfirmed(handle, item, now);
+  return true;
+}
+
+void statement_executor::FinishConfirmed(std::uint64_t handle,
+                                         const work_item& item,
+                                         core::time_point now) {
+  core::statement_outcome outcome = Describe(item);
+  const bool tombstone = item.kind == attempt_kind::kTombstone;
+  if (item.status == attempt_status::kAlreadyDone) {
+    outcome.already_done = true;
+  } else if (item.status == attempt_status::kKeyReused) {
+    outcome.refusal = refusal_type::kRequestIdReused;
+  } else if (item.status == attempt_status::kTombstoned || tombstone) {
+    outcome.refusal = refusal_type::kCancelled;
+  }
+  Finish(handle, outcome, now);
+}
+
+void statement_executor::Finish(std::uint64_t handle,
+                                core::statement_outcome outcome,
+                                core::time_point now) {
+  work_item* item = works_.Find(handle);
+  outcome.server = {item->work.database, item->slot};
+  work_origin origin = item->origin;
+  if (faults_.answer_oldest) {
+    // Pairs answers with requests by order instead of by identity.
+    core::time_point oldest = core::time_point::max();
+    works_.ForEach([&](std::uint64_t, work_item& other) {
+      if (other.state != work_state::kQueued && other.started < oldest &&
+          other.kind == item->kind) {
+        oldest = other.started;
+        origin = other.origin;
+      }
+    });
+  }
+  works_.Remove(handle);
+  listener_.OnExecuted(origin, outcome, now);
+}
+
+void statement_executor::OnKeeperChanged(group_keeper& keeper,
+                                         core::time_point now) {
+  const auto found = waiting_.find(keeper.Database());
+  if (found == waiting_.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](std::uint64_t handle) {
+    work_item* item = works_.Find(handle);
+    return item == nullptr || TryRelease(handle, *item, keeper, now);
+  });
+}
+
+void statement_executor::OnTick(core::time_point now) {
+  works_.ForEach([&](std::uint64_t handle, work_item& item) {
+    if (now >= item.work.deadline) {
+      GiveUp(handle, item, now);
+    }
+  });
+  EndIdleTransactions(now);
+  for (auto& [server, pool] : pools_) {
+    Dispatch(server, now);
+  }
+}
+
+effect_state statement_executor::EffectIfLost(attempt_kind kind) const {
+  if (faults_.not_run_without_tombstone) {
+    return effect_state::kNotRun;
+  }
+  // A transaction whose connection is closed before its commit is rolled back.
+  const bool before_commit =
+      kind == attempt_kind::kInTransaction || kind == attempt_kind::kRollback;
+  return before_commit ? effect_state::kRolledBack
+                       : effect_state::kOutcomeUnknown;
+}
+
+void statement_executor::GiveUp(std::uint64_t handle,
+                                work_item& item,
+                                core::time_point now) {
+  const core::backend_server_id server{item.work.database, item.slot};
+  effect_state effect = effect_state::kNotRun;
+  if (item.state == work_state::kQueued) {
+    if (server_pool* pool = PoolOf(server); pool != nullptr) {
+      pool->queue.Erase(item.work.priority, handle);
+    }
+  } else {
+    effect = EffectIfLost(item.kind);
+  }
+  if (item.state == work_state::kRunning) {
+    const std::uint64_t number = item.work.transaction.number;
+    if (number != 0) {
+      CloseTransaction(number, false, now);
+    }
+    GiveBack(item, !faults_.reuse_busy_connection, now);
+  }
+  Finish(handle, Refuse(refusal_type::kDeadlineExceeded, effect, kRetrySoon),
+         now);
+}
+
+void statement_executor::SubmitInTransaction(work_item item,
+                                             core::time_point now) {
+  const std::uint64_t number = item.work.transaction.number;
+  open_transaction* open = transactions_.Find(number);
+  refusal_type problem = refusal_type::kNone;
+  if (open == nullptr || open->server.database != item.work.database) {
+    problem = refusal_type::kTransactionUnknown;
+  } else if (open->busy) {
+    problem = refusal_type::kTransactionBusy;
+  } else if (works_.Full()) {
+    problem = refusal_type::kOverloaded;
+  }
+  if (problem != refusal_type::kNone) {
+    RefuseNow(item, problem, milliseconds(0), now);
+    return;
+  }
+  open->busy = true;
+  open->last_used = now;
+  item.slot = open->server.slot;
+  const std::uint32_t connection = open->connection;
+  const core::term_number term = open->term;
+  const std::uint64_t handle = works_.Add(std::move(item));
+  work_item* added = works_.Find(handle);
+  added->state = work_state::kRunning;
+  added->connection = connection;
+  added->term = term;
+  attempt work;
+  work.id = handle;
+  work.server = {added->work.database, added->slot};
+  work.connection = connection;
+  work.kind = added->kind;
+  work.term = term;
+  work.work = added->work;
+  actions_.RunAttempt(work);
+}
+
+void statement_executor::OpenTransaction(std::uint64_t handle,
+                                         work_item& item,
+                                         core::time_point now) {
+  if (item.status != attempt_status::kDone || transactions_.Full()) {
+    const bool server_full = item.status == attempt_status::kDone;
+    GiveBack(item, true, now);
+    Finish(handle,
+           Refuse(server_full ? refusal_type::kOverloaded
+                              : refusal_type::kNoPrimary,
+                  effect_state::kNotRun, kRetryLater),
+           now);
+    return;
+  }
+  open_transaction open;
+  open.server = {item.work.database, item.slot};
+  open.priority = item.work.priority;
+  open.connection = item.connection;
+  open.term = item.term;
+  open.last_used = now;
+  // The transaction keeps the connection that the work had.
+  item.pooled = false;
+  core::statement_outcome outcome = Describe(item);
+  outcome.transaction = {self_, transactions_.Add(open)};
+  Finish(handle, outcome, now);
+}
+
+void statement_executor::CloseTransaction(std::uint64_t number,
+                                          bool clean,
+                                          core::time_point now) {
+  const open_transaction* open = transactions_.Find(number);
+  if (open == nullptr) {
+    return;
+  }
+  const open_transaction closed = *open;
+  transactions_.Remove(number);
+  // The server rolls back whatever is open on a closed connection.
+  FreeConnection(closed.server, closed.connection, closed.priority, !clean);
+  Dispatch(closed.server, now);
+}
+
+void statement_executor::EndIdleTransactions(core::time_point now) {
+  transactions_.ForEach([&](std::uint64_t number, open_transaction& open) {
+    if (!open.busy && now - open.last_used >= settings_.transaction_idle) {
+      CloseTransaction(number, false, now);
+    }
+  });
+}
+
+bool statement_executor::HasWaiting(core::database_id database) const {
+  const auto found = waiting_.find(database);
+  return found != waiting_.end() && !found->second.empty();
+}
+
+std::uint64_t statement_executor::NeededOffset(
+    core::database_id database) const {
+  std::uint64_t needed = 0;
+  const auto found = waiting_.find(database);
+  if (found == waiting_.end()) {
+    return needed;
+  }
+  for (const std::uint64_t handle : found->second) {
+    const work_item* item = works_.Find(handle);
+    if (item != nullptr) {
+      needed = std::max(needed, item->seen.position.offset);
+    }
+  }
+  return needed;
+}
+
+core::time_point statement_executor::NeededFreshness(
+    core::database_id database) const {
+  core::time_point needed = core::time_point::min();
+  const auto found = waiting_.find(database);
+  if (found == waiting_.end()) {
+    return needed;
+  }
+  for (const std::uint64_t handle : found->second) {
+    const work_item* item = works_.Find(handle);
+    if (item != nullptr && !IsWrite(item->kind)) {
+      needed = std::max(needed, item->work.arrived - item->work.max_staleness);
+    }
+  }
+  return needed;
+}
+
+std::size_t statement_executor::Unfinished() const {
+  return works_.Size() + transactions_.Size();
+}
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/decisions/statement_executor.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "plantaintiller/core/slot_pool.h"
+#include "plantaintiller/core/statement.h"
+#include "plantaintiller/decisions/class_queue.h"
+#include "plantaintiller/decisions/faults.h"
+#include "plantaintiller/decisions/group_keeper.h"
+#include "plantaintiller/decisions/instance_actions.h"
+
+namespace plantaintiller::decisions {
+
+/// Limits of an executor.
+struct executor_settings {
+  /// Most statements in execution or queued, over all servers.
+  std::size_t capacity = 4096;
+  /// Most queued statements of one class at one server.
+  std::size_t queue_capacity = 512;
+  /// Pause of a connection that the server refused for too many connections.
+  core::milliseconds connection_pause{250};
+  /// Open transactions without a statement are ended after this long.
+  core::milliseconds transaction_idle{15000};
+  /// Most open transactions.
+  std::size_t transactions = 1024;
+};
+
+/// Where a statement came from.
+struct work_origin {
+  /// Instance that forwarded it; this instance's own id for its callers.
+  core::instance_id instance;
+  std::uint64_t ticket = 0;
+};
+
+/// Told when a statement has its outcome.
+class executor_listener {
+ public:
+  virtual ~executor_listener() = default;
+  /// @param origin what Submit was given.
+  virtual void OnExecuted(const work_origin& origin,
+                          const core::statement_outcome& outcome,
+                          core::time_point now) = 0;
+};
+
+/// Runs statements on the backend connections that this instance holds.
+///
+/// An answer is released once the position that it was produced at is
+/// confirmed, covers the session's token and is as fresh as asked. Each
+/// statement gets one attempt; repeating is the sender's decision.
+class statement_executor {
+ public:
+  statement_executor(core::instance_id self,
+                     const executor_settings& settings,
+                     const planted_faults& faults,
+                     instance_actions& actions,
+                     executor_listener& listener);
+  ~statement_executor();
+
+  /// Sets the connections held to a server; 0 stops new work there. Work that
+  /// has started goes on; what is queued is refused as not run when the limit
+  /// becomes 0.
+  void SetConnections(core::backend_server_id server,
+                      int connections,
+                      core::time_point now);
+  /// Connections held to a server.
+  int Connections(core::backend_server_id server) const;
+
+  /// Takes a statement for a server. The outcome may come before this returns.
+  /// @param keeper of the statement's database; it must outlive the executor.
+  void Submit(const work_origin& origin,
+              const core::statement& work,
+              core::slot_number slot,
+              group_keeper& keeper,
+              core::time_point now);
+
+  /// Result of an attempt. Results of attempts given up are ignored.
+  void OnAttemptResult(const attempt_result& result, core::time_point now);
+  /// New reports or a new record have reached a keeper.
+  void OnKeeperChanged(group_keeper& keeper, core::time_point now);
+  /// Ends what is past its deadline. Call every few milliseconds.
+  void OnTick(core::time_point now);
+
+  /// Whether some answer waits for reports of this database.
+  bool HasWaiting(core::database_id database) const;
+  /// Highest offset that answers of this database wait for.
+  std::uint64_t NeededOffset(core::database_id database) const;
+  /// Latest time that some answer needs reports to be sent after.
+  core::time_point NeededFreshness(core::database_id database) const;
+
+  /// Statements and transactions not finished.
+  std::size_t Unfinished() const;
+
+ private:
+  enum class work_state : std::uint8_t { kQueued, kRunning, kWaiting };
+  struct work_item {
+    work_origin origin;
+    core::statement work;
+    core::slot_number slot = 0;
+    work_state state = work_state::kQueued;
+    bool pooled = false;
+    std::uint32_t connection = 0;
+    attempt_kind kind = attempt_kind::kRead;
+    core::term_number term = 0;
+    attempt_status status = attempt_status::kDone;
+    core::server_state seen;
+    std::shared_ptr<const core::result_body> result;
+    core::time_point started;
+  };
+  struct connection_slot {
+    bool busy = false;
+    core::time_point paused_until;
+  };
+  struct server_pool {
+    server_pool(int limit, std::size_t capacity);
+    class_queue queue;
+    // Connections numbered `limit` and above end with the work they carry.
+    std::size_t limit;
+    std::vector<connection_slot> connections;
+    // Smoothed time that a statement holds a connection.
+    core::duration service_time{std::chrono::milliseconds(2)};
+  };
+  struct open_transaction {
+    core::backend_server_id server;
+    core::request_class priority = core::request_class::kFresh;
+    std::uint32_t connection = 0;
+    core::term_number term = 0;
+    core::time_point last_used;
+    bool busy = false;
+  };
+
+  server_pool* PoolOf(core::backend_server_id server);
+  group_keeper* KeeperOf(core::database_id database);
+  void SubmitInTransaction(work_item item, core::time_point now);
+  bool Admit(server_pool& pool, const work_item& item, core::time_point now);
+  void Dispatch(core::backend_server_id server, core::time_point now);
+  bool CheckPlace(const work_item& item,
+                  const group_keeper& keeper,
+                  core::time_point now);
+  void RefuseNow(const work_item& item,
+                 core::refusal_type type,
+                 core::milliseconds retry_after,
+                 core::time_point now);
+  void Start(std::uint64_t handle,
+             work_item& item,
+             std::uint32_t connection,
+             core::time_point now);
+  void GiveBack(work_item& item, bool close, core::time_point now);
+  void FreeConnection(core::backend_server_id server,
+                      std::uint32_t connection,
+                      core::request_class priority,
+                      bool close);
+  void Finish(std::uint64_t handle,
+              core::statement_outcome outcome,
+              core::time_point now);
+  bool TryRelease(std::uint64_t handle,
+                  work_item& item,
+                  group_keeper& keeper,
+                  core::time_point now);
+  void FinishConfirmed(std::uint64_t handle,
+                       const work_item& item,
+                       core::time_point now);
+  void GiveUp(std::uint64_t handle, work_item& item, core::time_point now);
+  void EndIdleTransactions(core::time_point now);
+  void OpenTransaction(std::uint64_t handle,
+                       work_item& item,
+                       core::time_point now);
+  void CloseTransaction(std::uint64_t number, bool clean, core::time_point now);
+  core::statement_outcome Describe(const work_item& item) const;
+  bool Covers(const work_item& item) const;
+  core::refusal_type UncoveredReason(const work_item& item,
+                                     bool at_primary) const;
+  core::effect_state EffectIfLost(attempt_kind kind) const;
+  static bool IsWrite(attempt_kind kind);
+
+  core::instance_id self_;
+  const executor_settings& settings_;
+  const planted_faults& faults_;
+  instance_actions& actions_;
+  executor_listener& listener_;
+  core::slot_pool<work_item> works_;
+  core::slot_pool<open_transaction> transactions_;
+  std::map<core::backend_server_id, server_pool> pools_;
+  std::map<core::database_id, group_keeper*> keepers_;
+  // Handles of answers that wait for reports, by database.
+  std::map<core::database_id, std::vector<std::uint64_t>> waiting_;
+};
+
+}  // namespace plantaintiller::decisions
--- /dev/null
+++ b/plantaintiller/http/client.cpp
@@ -0,0 +1,159 @@
+#include "plantaintiller/http/client.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+namespace plantaintiller::http {
+
+namespace {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+}  // namespace
+
+class client::implementation
+    : public std::enable_shared_from_this<client::implementation> {
+ public:
+  implementation(asio::io_context& context,
+                 std::string host,
+                 std::uint16_t port,
+                 core::milliseconds timeout)
+      : context_(context),
+        host_(std::move(host)),
+        port_(port),
+        timeout_(timeout) {}
+
+  void Send(const request& asked, exchange_done done) {
+    waiting_.push_back({asked, std::move(done)});
+    if (!busy_) {
+      Next();
+    }
+  }
+
+ private:
+  struct exchange {
+    request asked;
+    exchange_done done;
+  };
+
+  void Next() {
+    if (waiting_.empty()) {
+      busy_ = false;
+      return;
+    }
+    busy_ = true;
+    if (stream_.has_value()) {
+      Write();
+      return;
+    }
+    stream_.emplace(context_);
+    stream_->expires_after(timeout_);
+    const tcp::endpoint endpoint(asio::ip::make_address(host_), port_);
+    stream_->async_connect(
+        endpoint, [self = shared_from_this()](beast::error_code error) {
+          if (error) {
+            self->Finish(exchange_status::kNotSent, {});
+            return;
+          }
+          beast::error_code ignored;
+          self->stream_->socket().set_option(tcp::no_delay(true), ignored);
+          self->Write();
+        });
+  }
+
+  void Write() {
+    const request& asked = waiting_.front().asked;
+    request_ = {};
+    request_.version(11);
+    request_.method_string(asked.method);
+    request_.target(asked.target);
+    request_.set(beast::http::field::host, host_);
+    request_.set(beast::http::field::content_type, "application/json");
+    request_.body() = asked.body;
+    request_.prepare_payload();
+    stream_->expires_after(timeout_);
+    beast::http::async_write(
+        *stream_, request_,
+        [self = shared_from_this()](beast::error_code error, std::size_t) {
+          if (error) {
+            self->Finish(exchange_status::kNoAnswer, {});
+            return;
+          }
+          self->Read();
+        });
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(64U << 20U);
+    beast::http::async_read(
+        *stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, std::size_t) {
+          if (error) {
+            self->Finish(exchange_status::kNoAnswer, {});
+            return;
+          }
+          response answer;
+          answer.status = self->parser_->get().result_int();
+          answer.body = std::move(self->parser_->get().body());
+          answer.close = !self->parser_->get().keep_alive();
+          self->Finish(exchange_status::kAnswered, std::move(answer));
+        });
+  }
+
+  void Finish(exchange_status status, response answer) {
+    if (status != exchange_status::kAnswered || answer.close) {
+      stream_.reset();
+      buffer_.clear();
+    }
+    std::deque<exchange> ended;
+    ended.push_back(std::move(waiting_.front()));
+    waiting_.pop_front();
+    if (status != exchange_status::kAnswered) {
+      // Those that wait behind would run into the same failure one by one.
+      std::move(waiting_.begin(), waiting_.end(), std::back_inserter(ended));
+      waiting_.clear();
+    }
+    exchange_status each_status = status;
+    for (exchange& each : ended) {
+      each.done(each_status, std::move(answer));
+      answer = {};
+      each_status = exchange_status::kNotSent;
+    }
+    Next();
+  }
+
+  asio::io_context& context_;
+  std::string host_;
+  std::uint16_t port_;
+  core::milliseconds timeout_;
+  std::deque<exchange> waiting_;
+  bool busy_ = false;
+  std::optional<beast::tcp_stream> stream_;
+  beast::flat_buffer buffer_;
+  beast::http::request<beast::http::string_body> request_;
+  std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
+};
+
+client::client(asio::io_context& context,
+               std::string host,
+               std::uint16_t port,
+               core::milliseconds timeout)
+    : implementation_(std::make_shared<implementation>(context,
+                                                       std::move(host),
+                                                       port,
+                                                       timeout)) {}
+
+client::~client() = default;
+
+void client::Send(const request& asked, exchange_done done) {
+  implementation_->Send(asked, std::move(done));
+}
+
+}  // namespace plantaintiller::http
--- /dev/null
+++ b/plantaintiller/instances/messages.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "plantaintiller/core/configuration.h"
+#include "plantaintiller/decisions/instance_actions.h"
+
+namespace plantaintiller::instances {
+
+/// @name Commands from the decisions
+/// @{
+struct forward_command {
+  core::instance_id to;
+  decisions::forwarded_statement work;
+};
+struct reply_command {
+  decisions::forwarded_reply reply;
+};
+struct heartbeat_command {
+  core::instance_id to;
+  decisions::heartbeat beat;
+};
+struct pull_command {
+  core::instance_id from;
+};
+struct peers_command {
+  std::vector<core::instance_entry> peers;
+};
+struct drop_peer_command {
+  core::instance_id peer;
+};
+/// Configuration to give to peers that ask.
+struct offer_command {
+  std::shared_ptr<const core::configuration> configuration;
+};
+struct stop_command {};
+using command = std::variant<forward_command,
+                             reply_command,
+                             heartbeat_command,
+                             pull_command,
+                             peers_command,
+                             drop_peer_command,
+                             offer_command,
+                             stop_command>;
+/// @}
+
+/// @name Events for the decisions
+/// @{
+struct forwarded_event {
+  core::instance_id from;
+  decisions::forwarded_statement work;
+};
+struct reply_event {
+  decisions::forwarded_reply reply;
+};
+struct lost_event {
+  std::uint64_t ticket = 0;
+};
+struct heartbeat_event {
+  decisions::heartbeat beat;
+};
+struct configuration_event {
+  std::shared_ptr<const core::configuration> configuration;
+};
+using event = std::variant<forwarded_event,
+                           reply_event,
+                           lost_event,
+                           heartbeat_event,
+                           configuration_event>;
+/// @}
+
+}  // namespace plantaintiller::instances
--- /dev/null
+++ b/plantaintiller/operators/operator_service.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "plantaintiller/core/channel.h"
+#include "plantaintiller/http/message.h"
+#include "plantaintiller/metrics/registry.h"
+#include "plantaintiller/operators/messages.h"
+
+namespace plantaintiller::operators {
+
+/// Operators' HTTP interface; docs/OPERATORS.md describes it. All calls are on
+/// the operators' thread.
+class operator_service : public http::handler {
+ public:
+  operator_service(core::channel<query>& queries,
+                   const metrics::registry& metrics);
+
+  void Handle(const http::request& asked, http::responder respond) override;
+  /// The decisions have answered.
+  void Do(const status_answer& answer);
+
+ private:
+  using formatter = std::function<http::response(const instance_status&)>;
+  struct pending_query {
+    formatter format;
+    http::responder respond;
+  };
+  template <class asked_query>
+  void Ask(formatter format, http::responder respond);
+
+  core::channel<query>& queries_;
+  const metrics::registry& metrics_;
+  std::uint64_t next_id_ = 0;
+  std::map<std::uint64_t, pending_query> pending_;
+};
+
+}  // namespace plantaintiller::operators
--- /dev/null
+++ b/plantaintiller/platform/messages.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "plantaintiller/core/configuration.h"
+#include "plantaintiller/decisions/instance_actions.h"
+
+namespace plantaintiller::platform {
+
+/// @name Commands from the decisions
+/// @{
+struct read_record_command {
+  core::database_id database;
+};
+struct swap_record_command {
+  core::database_id database;
+  core::group_record record;
+};
+struct read_configuration_command {
+  std::uint64_t known_version = 0;
+};
+struct read_instances_command {};
+using command = std::variant<read_record_command,
+                             swap_record_command,
+                             read_configuration_command,
+                             read_instances_command>;
+/// @}
+
+/// @name Events for the decisions
+/// @{
+struct record_event {
+  core::database_id database;
+  bool available = false;
+  /// Nothing if the row does not exist.
+  std::optional<core::group_record> record;
+};
+struct swap_event {
+  core::database_id database;
+  decisions::swap_status status = decisions::swap_status::kUnknown;
+  std::optional<core::group_record> current;
+};
+struct configuration_event {
+  std::shared_ptr<const core::configuration> configuration;
+};
+struct instances_event {
+  std::vector<core::instance_entry> instances;
+};
+using event = std::
+    variant<record_event, swap_event, configuration_event, instances_event>;
+/// @}
+
+}  // namespace plantaintiller::platform
--- /dev/null
+++ b/plantaintiller/platform/platform_codec.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <boost/json/value.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "plantaintiller/core/configuration.h"
+#include "plantaintiller/core/group_record.h"
+
+namespace plantaintiller::platform {
+
+/// Key of a database's group record in the platform's table.
+std::string GroupRecordKey(core::database_id database);
+/// Key of the configuration in the platform's table.
+inline constexpr const char* kConfigurationKey = "configuration";
+
+/// Writes a record without its row version, which the table keeps.
+boost::json::value ToJson(const core::group_record& record);
+/// Reads a row. @param version of the row. @return nothing if it is malformed.
+std::optional<core::group_record> GroupRecordFromJson(
+    const boost::json::value& json,
+    std::uint64_t version);
+
+/// Reads the list of instances; malformed entries are left out.
+std::vector<core::instance_entry> InstanceListFromJson(
+    const boost::json::value& json);
+
+}  // namespace plantaintiller::platform
--- /dev/null
+++ b/plantaintiller/platform/platform_duty.cpp
@@ -0,0 +1,165 @@
+#include "plantaintiller/platform/platform_duty.h"
+
+#include <glog/logging.h>
+
+#include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "plantaintiller/config/configuration_codec.h"
+#include "plantaintiller/platform/platform_codec.h"
+
+namespace plantaintiller::platform {
+
+namespace {
+
+constexpr core::milliseconds kTimeout{500};
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+
+std::string RowTarget(const std::string& key) {
+  return "/v1/rows/" + key;
+}
+
+bool Answered(http::exchange_status status, const http::response& answer) {
+  return status == http::exchange_status::kAnswered && answer.status < 500;
+}
+
+}  // namespace
+
+platform_duty::platform_duty(boost::asio::io_context& context,
+                             const std::string& host,
+                             std::uint16_t port,
+                             core::channel<event>& events)
+    : events_(events),
+      records_(context, host, port, kTimeout),
+      others_(context, host, port, kTimeout) {}
+
+platform_duty::~platform_duty() = default;
+
+void platform_duty::Do(const command& given) {
+  std::visit([this](const auto& each) { Do(each); }, given);
+}
+
+void platform_duty::Send(const event& happened) {
+  CHECK(events_.TrySend(happened)) << "platform: event ring is full";
+}
+
+std::optional<platform_duty::row> platform_duty::ParseRow(
+    const std::string& body) {
+  boost::json::error_code error;
+  boost::json::value parsed = boost::json::parse(body, error);
+  const boost::json::object* fields = error ? nullptr : parsed.if_object();
+  if (fields == nullptr || !fields->contains("version") ||
+      !fields->contains("value")) {
+    return std::nullopt;
+  }
+  row read;
+  read.version = fields->at("version").to_number<std::uint64_t>(error);
+  read.value = fields->at("value");
+  return error ? std::nullopt : std::optional(std::move(read));
+}
+
+void platform_duty::Do(const read_record_command& given) {
+  const core::database_id database = given.database;
+  records_.Send(
+      {"GET", RowTarget(GroupRecordKey(database)), ""},
+      [this, database](http::exchange_status status,
+                       const http::response& answer) {
+        record_event read;
+        read.database = database;
+        read.available = Answered(status, answer) &&
+                         (answer.status == kOk || answer.status == kNotFound);
+        if (read.available && answer.status == kOk) {
+          const std::optional<row> found = ParseRow(answer.body);
+          if (found.has_value()) {
+            read.record = GroupRecordFromJson(found->value, found->version);
+          }
+          // A row that cannot be read must not look like one that is missing.
+          read.available = read.record.has_value();
+        }
+        Send(read);
+      });
+}
+
+void platform_duty::Do(const swap_record_command& given) {
+  const core::database_id database = given.database;
+  const std::string body = boost::json::serialize(
+      boost::json::object{{"expected_version", given.record.version},
+                          {"value", ToJson(given.record)}});
+  records_.Send({"PUT", RowTarget(GroupRecordKey(database)), body},
+                [this, database](http::exchange_status status,
+                                 const http::response& answer) {
+                  swap_event swapped;
+                  swapped.database = database;
+                  if (status == http::exchange_status::kNotSent ||
+                      (status == http::exchange_status::kAnswered &&
+                       answer.status == 503)) {
+                    swapped.status = decisions::swap_status::kUnavailable;
+                  } else if (Answered(status, answer)) {
+                    const std::optional<row> now = ParseRow(answer.body);
+                    if (now.has_value()) {
+                      swapped.current =
+                          GroupRecordFromJson(now->value, now->version);
+                    }
+                    swapped.status =
+                        answer.status == kConflict || answer.status == kNotFound
+                            ? decisions::swap_status::kConflict
+                            : decisions::swap_status::kApplied;
+                  }
+                  Send(swapped);
+                });
+}
+
+void platform_duty::Do(const read_configuration_command& given) {
+  const std::uint64_t known = given.known_version;
+  others_.Send(
+      {"GET", RowTarget(kConfigurationKey), ""},
+      [this, known](http::exchange_status status,
+                    const http::response& answer) {
+        if (!Answered(status, answer) || answer.status != kOk) {
+          return;
+        }
+        const std::optional<row> found = ParseRow(answer.body);
+        if (!found.has_value() || found->version <= known) {
+          return;
+        }
+        boost::leaf::try_handle_all(
+            [&]() -> core::result<void> {
+              BOOST_LEAF_AUTO(configuration,
+                              config::ConfigurationFromJson(found->value));
+              // The row's version is the configuration's.
+              configuration.version = found->version;
+              Send(configuration_event{
+                  std::make_shared<const core::configuration>(
+                      std::move(configuration))});
+              return {};
+            },
+            [](const core::error& problem) {
+              LOG(ERROR) << "platform: configuration refused. field="
+                         << problem.subject << " reason=" << problem.detail;
+            },
+            [] { LOG(ERROR) << "platform: configuration refused."; });
+      });
+}
+
+void platform_duty::Do(const read_instances_command&) {
+  others_.Send(
+      {"GET", "/v1/instances", ""},
+      [this](http::exchange_status status, const http::response& answer) {
+        if (Answered(status, answer) && answer.status == kOk) {
+          OnInstances(answer.body);
+        }
+      });
+}
+
+void platform_duty::OnInstances(const std::string& body) {
+  boost::json::error_code error;
+  const boost::json::value parsed = boost::json::parse(body, error);
+  if (!error) {
+    Send(instances_event{InstanceListFromJson(parsed)});
+  }
+}
+
+}  // namespace plantaintiller::platform
--- /dev/null
+++ b/plantaintiller/serve/decision_duty.cpp
@@ -0,0 +1,367 @@
+#include "plantaintiller/serve/decision_duty.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+#include <variant>
+
+#include "plantaintiller/serve/decision_log.h"
+
+namespace plantaintiller::serve {
+
+namespace {
+
+constexpr core::milliseconds kTick{5};
+// How long nothing may be in flight before a shutdown counts as finished, so
+// that peers have learned of it.
+constexpr core::milliseconds kQuietBeforeExit{700};
+
+decisions::instance_decider_settings DeciderSettings(
+    const serve_settings& settings) {
+  decisions::instance_decider_settings made;
+  made.self = settings.self;
+  made.zone = core::ZoneIdOf(settings.zone);
+  return made;
+}
+
+}  // namespace
+
+decision_duty::decision_duty(boost::asio::io_context& context,
+                             channels& rings,
+                             const serve_settings& settings,
+                             std::function<void()> drained)
+    : rings_(rings),
+      settings_(settings),
+      drained_(std::move(drained)),
+      timer_(context),
+      decider_(std::make_unique<decisions::instance_decider>(
+          DeciderSettings(settings),
+          *this,
+          settings.seed)) {}
+
+decision_duty::~decision_duty() = default;
+
+void decision_duty::Start() {
+  std::vector<core::instance_entry> peers;
+  for (const std::string& seed : settings_.seeds) {
+    // The settings have been checked: ID@ZONE=HOST:PORT.
+    const std::size_t at = seed.find('@');
+    const std::size_t equals = seed.find('=');
+    const std::size_t colon = seed.rfind(':');
+    core::instance_entry peer;
+    std::from_chars(seed.data(), seed.data() + at, peer.id.value);
+    peer.zone = core::ZoneIdOf(seed.substr(at + 1, equals - at - 1));
+    peer.host = seed.substr(equals + 1, colon - equals - 1);
+    std::from_chars(seed.data() + colon + 1, seed.data() + seed.size(),
+                    peer.port);
+    peers.push_back(std::move(peer));
+  }
+  if (!peers.empty()) {
+    On(platform::instances_event{std::move(peers)});
+  }
+  Tick();
+}
+
+void decision_duty::Tick() {
+  decider_->OnTick(core::clock::now());
+  Flush();
+  CheckDrained();
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void decision_duty::Flush() {
+  while (!later_.empty()) {
+    const std::vector<std::function<void()>> due = std::exchange(later_, {});
+    for (const std::function<void()>& each : due) {
+      each();
+    }
+  }
+}
+
+void decision_duty::Drain() {
+  LOG(INFO) << "serve: shutdown started.";
+  drain_started_ = core::clock::now();
+  decider_->Drain(drain_started_);
+}
+
+void decision_duty::CheckDrained() {
+  if (!decider_->IsDraining() || drained_told_) {
+    return;
+  }
+  const core::time_point now = core::clock::now();
+  if (!decider_->IsIdle()) {
+    idle_since_ = now;
+  }
+  const bool quiet =
+      now - std::max(idle_since_, drain_started_) >= kQuietBeforeExit;
+  const bool overdue = now - drain_started_ >= settings_.shutdown_limit;
+  if (!quiet && !overdue) {
+    return;
+  }
+  drained_told_ = true;
+  LOG(INFO) << "serve: shutdown finished. unfinished="
+            << decider_->Unfinished();
+  drained_();
+}
+
+void decision_duty::DrainCallers() {
+  rings_.from_callers.Drain([this](const callers::statement_event& asked) {
+    decider_->OnCallerStatement(asked.ticket, asked.work, core::clock::now());
+  });
+  Flush();
+}
+
+void decision_duty::DrainBackends() {
+  rings_.from_backends.Drain([this](const backends::event& happened) {
+    std::visit([this](const auto& each) { On(each); }, happened);
+  });
+  Flush();
+}
+
+void decision_duty::DrainInstances() {
+  rings_.from_instances.Drain([this](const instances::event& happened) {
+    std::visit([this](const auto& each) { On(each); }, happened);
+  });
+  Flush();
+}
+
+void decision_duty::DrainPlatform() {
+  rings_.from_platform.Drain([this](const platform::event& happened) {
+    std::visit([this](const auto& each) { On(each); }, happened);
+  });
+  Flush();
+}
+
+void decision_duty::DrainOperators() {
+  rings_.from_operators.Drain([this](const operators::query& asked) {
+    std::visit([this](const auto& each) { On(each); }, asked);
+  });
+  Flush();
+}
+
+void decision_duty::On(const backends::attempt_event& happened) {
+  decider_->OnAttemptResult(happened.result, core::clock::now());
+}
+
+void decision_duty::On(const backends::probe_event& happened) {
+  if (happened.answered) {
+    decider_->OnProbeAnswer(happened.server, happened.probe_id, happened.state,
+                            core::clock::now());
+  } else {
+    decider_->OnProbeFailed(happened.server, happened.probe_id);
+  }
+}
+
+void decision_duty::On(const backends::order_event& happened) {
+  decider_->OnOrderDone(happened.server);
+}
+
+void decision_duty::On(const instances::forwarded_event& happened) {
+  decider_->OnForwarded(happened.from, happened.work, core::clock::now());
+}
+
+void decision_duty::On(const instances::reply_event& happened) {
+  decider_->OnForwardedReply(happened.reply, core::clock::now());
+}
+
+void decision_duty::On(const instances::lost_event& happened) {
+  decider_->OnForwardLost(happened.ticket, core::clock::now());
+}
+
+void decision_duty::On(const instances::heartbeat_event& happened) {
+  decider_->OnHeartbeat(happened.beat, core::clock::now());
+}
+
+void decision_duty::On(const instances::configuration_event& happened) {
+  OnConfiguration(happened.configuration);
+}
+
+void decision_duty::On(const platform::record_event& happened) {
+  const core::time_point now = core::clock::now();
+  if (happened.available) {
+    decider_->OnGroupRecord(happened.database, happened.record, now);
+  } else {
+    decider_->OnGroupRecordUnavailable(happened.database, now);
+  }
+}
+
+void decision_duty::On(const platform::swap_event& happened) {
+  decider_->OnSwap(happened.database, happened.status, happened.current,
+                   core::clock::now());
+}
+
+void decision_duty::On(const platform::configuration_event& happened) {
+  OnConfiguration(happened.configuration);
+}
+
+void decision_duty::On(const platform::instances_event& happened) {
+  rings_.to_instances.TrySend(instances::peers_command{happened.instances});
+  decider_->OnInstanceList(happened.instances, core::clock::now());
+}
+
+void decision_duty::OnConfiguration(
+    const std::shared_ptr<const core::configuration>& offered) {
+  // The other duties need the addresses before the decisions use them.
+  if (offered->version > offered_version_) {
+    offered_version_ = offered->version;
+    rings_.to_backends.TrySend(backends::configuration_command{offered});
+    rings_.to_callers.TrySend(callers::configuration_command{offered});
+    rings_.to_instances.TrySend(instances::offer_command{offered});
+  }
+  decider_->OnConfiguration(offered, core::clock::now());
+}
+
+void decision_duty::On(const operators::status_query& asked) {
+  rings_.to_operators.TrySend({asked.id, Status()});
+}
+
+void decision_duty::On(const operators::drain_query& asked) {
+  Drain();
+  rings_.to_operators.TrySend({asked.id, Status()});
+}
+
+std::shared_ptr<const operators::instance_status> decision_duty::Status() {
+  const core::time_point now = core::clock::now();
+  const auto status = std::make_shared<operators::instance_status>();
+  status->self = settings_.self;
+  status->zone = settings_.zone;
+  status->ready = decider_->IsReady();
+  status->draining = decider_->IsDraining();
+  status->unfinished = decider_->Unfinished();
+  for (const auto& each : decider_->Members().Candidates()) {
+    status->live_instances.push_back(each.id);
+  }
+  const auto configuration = decider_->Configuration();
+  if (configuration == nullptr) {
+    return status;
+  }
+  status->deployment = configuration->deployment;
+  status->configuration_version = configuration->version;
+  for (const core::database_settings& database : configuration->databases) {
+    operators::database_status& shown = status->databases.emplace_back();
+    shown.name = database.name;
+    const decisions::group_keeper* keeper = decider_->Keeper(database.id);
+    shown.watched = keeper != nullptr;
+    if (keeper != nullptr) {
+      shown.record = keeper->Record();
+    }
+    for (core::slot_number slot = 0; slot < database.servers.size(); ++slot) {
+      operators::server_status& server = shown.servers.emplace_back();
+      server.slot = slot;
+      server.zone = configuration->ZoneName(database.servers[slot].zone);
+      server.leaving = database.servers[slot].leaving;
+      server.connections = decider_->Connections({database.id, slot});
+      if (keeper == nullptr) {
+        continue;
+      }
+      server.alive = keeper->IsAlive(slot, now);
+      const auto offset = keeper->Tracker().OffsetOf(slot);
+      const auto age = keeper->Tracker().AgeOf(slot, now);
+      if (offset.has_value()) {
+        server.position = static_cast<std::int64_t>(*offset);
+      }
+      if (age.has_value()) {
+        server.age_ms = core::ToMilliseconds(*age).count();
+      }
+    }
+  }
+  return status;
+}
+
+void decision_duty::RunAttempt(const decisions::attempt& work) {
+  if (rings_.to_backends.TrySend(backends::attempt_command{work})) {
+    return;
+  }
+  decisions::attempt_result refused;
+  refused.id = work.id;
+  refused.server = work.server;
+  later_.emplace_back([this, refused] {
+    decider_->OnAttemptResult(refused, core::clock::now());
+  });
+}
+
+void decision_duty::CloseConnection(core::backend_server_id server,
+                                    std::uint32_t connection) {
+  CHECK(rings_.to_backends.TrySend(backends::close_command{server, connection}))
+      << "decisions: ring to the backend servers is full";
+}
+
+void decision_duty::ProbeServer(const decisions::server_probe& probe) {
+  rings_.to_backends.TrySend(backends::probe_command{probe});
+}
+
+void decision_duty::OrderServer(const decisions::server_order& order) {
+  rings_.to_backends.TrySend(backends::order_command{order});
+}
+
+void decision_duty::ForwardStatement(
+    core::instance_id to,
+    const decisions::forwarded_statement& work) {
+  if (rings_.to_instances.TrySend(instances::forward_command{to, work})) {
+    return;
+  }
+  later_.emplace_back([this, ticket = work.ticket] {
+    decider_->OnForwardLost(ticket, core::clock::now());
+  });
+}
+
+void decision_duty::ReplyToPeer(core::instance_id /*to*/,
+                                const decisions::forwarded_reply& reply) {
+  CHECK(rings_.to_instances.TrySend(instances::reply_command{reply}))
+      << "decisions: ring to the instances is full";
+}
+
+void decision_duty::DropPeer(core::instance_id peer) {
+  rings_.to_instances.TrySend(instances::drop_peer_command{peer});
+}
+
+void decision_duty::SendHeartbeat(core::instance_id to,
+                                  const decisions::heartbeat& beat) {
+  rings_.to_instances.TrySend(instances::heartbeat_command{to, beat});
+}
+
+void decision_duty::ReadGroupRecord(core::database_id database) {
+  rings_.to_platform.TrySend(platform::read_record_command{database});
+}
+
+void decision_duty::SwapGroupRecord(core::database_id database,
+                                    const core::group_record& record) {
+  rings_.to_platform.TrySend(platform::swap_record_command{database, record});
+}
+
+void decision_duty::ReadConfiguration(std::uint64_t known_version) {
+  rings_.to_platform.TrySend(
+      platform::read_configuration_command{known_version});
+}
+
+void decision_duty::PullConfiguration(core::instance_id from) {
+  rings_.to_instances.TrySend(instances::pull_command{from});
+}
+
+void decision_duty::ReadInstanceList() {
+  rings_.to_platform.TrySend(platform::read_instances_command{});
+}
+
+void decision_duty::AnswerCaller(std::uint64_t ticket,
+                                 const core::statement_outcome& outcome) {
+  CHECK(rings_.to_callers.TrySend(callers::answer_command{ticket, outcome}))
+      << "decisions: ring to the callers is full";
+}
+
+void decision_duty::NoteDecision(const decisions::decision_note& note) {
+  if (!settings_.log_decisions) {
+    return;
+  }
+  const auto configuration =
+      decider_ == nullptr ? nullptr : decider_->Configuration();
+  LOG(INFO) << DecisionLine(note, configuration.get());
+}
+
+}  // namespace plantaintiller::serve
--- /dev/null
+++ b/plantaintiller/serve/entry_instance.cpp
@@ -0,0 +1,208 @@
+#include "plantaintiller/serve/entry_instance.h"
+
+#include <glog/logging.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <future>
+#include <thread>
+
+#include "plantaintiller/backends/backend_duty.h"
+#include "plantaintiller/callers/caller_service.h"
+#include "plantaintiller/core/duty_thread.h"
+#include "plantaintiller/http/server.h"
+#include "plantaintiller/instances/peer_loop.h"
+#include "plantaintiller/metrics/registry.h"
+#include "plantaintiller/operators/operator_service.h"
+#include "plantaintiller/platform/platform_duty.h"
+#include "plantaintiller/serve/channels.h"
+#include "plantaintiller/serve/decision_duty.h"
+
+namespace plantaintiller::serve {
+
+namespace {
+
+constexpr int kExitCannotListen = 1;
+
+http::server_settings ServerSettings(const std::string& host,
+                                     std::uint16_t port) {
+  http::server_settings settings;
+  settings.host = host;
+  settings.port = port;
+  return settings;
+}
+
+}  // namespace
+
+class entry_instance::implementation {
+ public:
+  explicit implementation(const serve_settings& settings)
+      : settings_(settings),
+        caller_service_(rings_.from_callers, metrics_, settings.seed + 1),
+        caller_server_(
+            callers_.Context(),
+            ServerSettings(settings.caller_host, settings.caller_port),
+            caller_service_),
+        operator_service_(rings_.from_operators, metrics_),
+        operator_server_(
+            operators_.Context(),
+            ServerSettings(settings.operator_host, settings.operator_port),
+            operator_service_),
+        backend_duty_(backends_.Context(), rings_.from_backends),
+        platform_duty_(platform_.Context(),
+                       settings.platform_host,
+                       settings.platform_port,
+                       rings_.from_platform),
+        peers_({settings.self, settings.peer_host, settings.peer_port},
+               rings_.to_instances,
+               rings_.from_instances),
+        decision_duty_(decisions_.Context(), rings_, settings, [this] {
+          main_.stop();
+        }) {}
+
+  int Run() {
+    ConnectRings();
+    if (!Listen()) {
+      return kExitCannotListen;
+    }
+    callers_.Start();
+    operators_.Start();
+    backends_.Start();
+    platform_.Start();
+    decisions_.Post([this] { decision_duty_.Start(); });
+    decisions_.Start();
+    LOG(INFO) << "serve: started. instance=" << settings_.self.value
+              << " zone=" << settings_.zone;
+    WaitForShutdown();
+    StopDuties();
+    return 0;
+  }
+
+ private:
+  void ConnectRings() {
+    rings_.from_callers.OnWake(
+        [this] { decisions_.Post([this] { decision_duty_.DrainCallers(); }); });
+    rings_.from_backends.OnWake([this] {
+      decisions_.Post([this] { decision_duty_.DrainBackends(); });
+    });
+    rings_.from_instances.OnWake([this] {
+      decisions_.Post([this] { decision_duty_.DrainInstances(); });
+    });
+    rings_.from_platform.OnWake([this] {
+      decisions_.Post([this] { decision_duty_.DrainPlatform(); });
+    });
+    rings_.from_operators.OnWake([this] {
+      decisions_.Post([this] { decision_duty_.DrainOperators(); });
+    });
+    rings_.to_callers.OnWake([this] {
+      callers_.Post([this] {
+        rings_.to_callers.Drain([this](const callers::command& given) {
+          caller_service_.Do(given);
+        });
+      });
+    });
+    rings_.to_backends.OnWake([this] {
+      backends_.Post([this] {
+        rings_.to_backends.Drain([this](const backends::command& given) {
+          backend_duty_.Do(given);
+        });
+      });
+    });
+    rings_.to_platform.OnWake([this] {
+      platform_.Post([this] {
+        rings_.to_platform.Drain([this](const platform::command& given) {
+          platform_duty_.Do(given);
+        });
+      });
+    });
+    rings_.to_operators.OnWake([this] {
+      operators_.Post([this] {
+        rings_.to_operators.Drain([this](const operators::status_answer& each) {
+          operator_service_.Do(each);
+        });
+      });
+    });
+  }
+
+  bool Listen() {
+    try {
+      const std::uint16_t caller_port = caller_server_.Listen();
+      const std::uint16_t operator_port = operator_server_.Listen();
+      LOG(INFO) << "serve: listening. callers=" << caller_port
+                << " operators=" << operator_port;
+    } catch (const boost::system::system_error& error) {
+      LOG(ERROR) << "serve: cannot listen. reason=" << error.what();
+      return false;
+    }
+    if (!peers_.Start()) {
+      LOG(ERROR) << "serve: cannot listen for instances.";
+      return false;
+    }
+    return true;
+  }
+
+  void WaitForShutdown() {
+    boost::asio::signal_set signals(main_, SIGTERM, SIGINT);
+    signals.async_wait([this](const boost::system::error_code& error, int) {
+      if (error) {
+        return;
+      }
+      callers_.Post([this] { caller_server_.StopAccepting(); });
+      decisions_.Post([this] { decision_duty_.Drain(); });
+    });
+    const auto guard = boost::asio::make_work_guard(main_);
+    main_.run();
+  }
+
+  void StopDuties() {
+    // The callers' thread goes last of those that answers pass through.
+    decisions_.Stop();
+    FinishAnswers();
+    callers_.Stop();
+    operators_.Stop();
+    peers_.Stop();
+    backends_.Stop();
+    platform_.Stop();
+  }
+
+  // Lets the callers' thread write what it has been given.
+  void FinishAnswers() {
+    std::promise<void> written;
+    callers_.Post([&written] { written.set_value(); });
+    written.get_future().wait();
+    std::this_thread::sleep_for(kLastWrites);
+  }
+
+  static constexpr core::milliseconds kLastWrites{100};
+
+  serve_settings settings_;
+  channels rings_;
+  metrics::registry metrics_;
+  boost::asio::io_context main_{1};
+  core::duty_thread callers_{"callers"};
+  core::duty_thread operators_{"operators"};
+  core::duty_thread backends_{"backends"};
+  core::duty_thread platform_{"platform"};
+  core::duty_thread decisions_{"decisions"};
+  callers::caller_service caller_service_;
+  http::server caller_server_;
+  operators::operator_service operator_service_;
+  http::server operator_server_;
+  backends::backend_duty backend_duty_;
+  platform::platform_duty platform_duty_;
+  instances::peer_loop peers_;
+  decision_duty decision_duty_;
+};
+
+entry_instance::entry_instance(const serve_settings& settings)
+    : implementation_(std::make_unique<implementation>(settings)) {}
+
+entry_instance::~entry_instance() = default;
+
+int entry_instance::Run() {
+  return implementation_->Run();
+}
+
+}  // namespace plantaintiller::serve
--- /dev/null
+++ b/plantaintiller/standin/backend_service.cpp
@@ -0,0 +1,108 @@
+#include "plantaintiller/standin/backend_service.h"
+
+#include <boost/asio/post.hpp>
+#include <memory>
+#include <utility>
+
+namespace plantaintiller::standin {
+
+using tcp = boost::asio::ip::tcp;
+
+backend_service::backend_service(boost::asio::io_context& context,
+                                 const backend_settings& settings)
+    : context_(context),
+      settings_(settings),
+      acceptor_(context),
+      node_(*this),
+      follower_(context, node_) {
+  follower_.SetLag(settings.lag);
+}
+
+backend_service::~backend_service() = default;
+
+std::uint16_t backend_service::Listen() {
+  const tcp::endpoint endpoint(boost::asio::ip::make_address(settings_.host),
+                               settings_.port);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen();
+  Accept();
+  return acceptor_.local_endpoint().port();
+}
+
+void backend_service::Accept() {
+  acceptor_.async_accept(
+      [this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          boost::system::error_code ignored;
+          socket.set_option(tcp::no_delay(true), ignored);
+          const auto session =
+              std::make_shared<backend_session>(std::move(socket), *this);
+          sessions_.insert(session.get());
+          session->Start();
+        }
+        Accept();
+      });
+}
+
+bool backend_service::TakeConnection(const backend_session* session) {
+  if (counted_.size() >= settings_.connections) {
+    return false;
+  }
+  counted_.insert(session);
+  return true;
+}
+
+void backend_service::OnSessionEnded(const backend_session* session) {
+  counted_.erase(session);
+  sessions_.erase(const_cast<backend_session*>(session));
+}
+
+void backend_service::Switch(const std::string& name,
+                             std::uint64_t value,
+                             const backend_session* asker) {
+  if (name == "lag_ms") {
+    follower_.SetLag(core::milliseconds(value));
+    return;
+  }
+  if (name != "silent") {
+    return;
+  }
+  // Connections open now go silent; new ones work.
+  for (backend_session* each : sessions_) {
+    if (each != asker) {
+      each->GoSilent();
+    }
+  }
+}
+
+void backend_service::OnNodeChanged() {
+  if (resume_posted_) {
+    return;
+  }
+  resume_posted_ = true;
+  boost::asio::post(context_, [this] {
+    resume_posted_ = false;
+    // Resuming may end a session, so each is kept alive meanwhile.
+    std::vector<std::shared_ptr<backend_session>> open;
+    for (backend_session* each : sessions_) {
+      if (auto held = each->weak_from_this().lock()) {
+        open.push_back(std::move(held));
+      }
+    }
+    for (const auto& each : open) {
+      each->Resume();
+    }
+  });
+}
+
+void backend_service::OnFollowOrdered(core::term_number term,
+                                      const primary_address& primary) {
+  follower_.Follow(term, primary);
+}
+
+}  // namespace plantaintiller::standin
--- /dev/null
+++ b/tests/processes/deployment.py
@@ -0,0 +1,187 @@
+"""Starts a small system of separate processes on loopback, for tests and the demo.
+
+The processes are started and ended by their ids; nothing else on the machine is
+touched.
+"""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BINARY = pathlib.Path(
+    os.environ.get("PLANTAINTILLER_BINARY", ROOT / "build/release/plantaintiller"))
+
+
+def free_port():
+    """A port that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def exchange(port, method, target, body=None, timeout=15):
+    """One HTTP exchange. Returns the status and the body, parsed if it is JSON."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        text = None if body is None else json.dumps(body)
+        connection.request(method, target, text,
+                           {"Content-Type": "application/json"})
+        answer = connection.getresponse()
+        content = answer.read().decode()
+        is_json = answer.getheader("Content-Type") == "application/json"
+        return answer.status, json.loads(content) if is_json else content
+    finally:
+        connection.close()
+
+
+class Process:
+    """A process of the system, with its log in a file."""
+
+    def __init__(self, name, arguments, log_folder):
+        self.name = name
+        self.log_path = pathlib.Path(log_folder) / f"{name}.log"
+        log = open(self.log_path, "wb")
+        environment = {k: v for k, v in os.environ.items()
+                       if not k.startswith("PLANTAINTILLER_")}
+        self.popen = subprocess.Popen([str(BINARY), *arguments], stdout=log,
+                                      stderr=subprocess.STDOUT, env=environment)
+
+    def send(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+        self.popen.wait()
+
+    def terminate(self, timeout=30):
+        """Asks for a graceful end. Returns the exit status."""
+        self.popen.terminate()
+        return self.popen.wait(timeout)
+
+
+class Deployment:
+    """A stand-in platform, stand-in backend servers, and entry instances."""
+
+    def __init__(self, log_folder, zones=("perth-north", "perth-south"),
+                 instances=3, databases=2, slots=2, connections=16):
+        self.log_folder = pathlib.Path(log_folder)
+        self.log_folder.mkdir(parents=True, exist_ok=True)
+        self.zones = zones
+        self.connections = connections
+        self.processes = []
+        self.platform_port = free_port()
+        self.platform = self.start(
+            "platform",
+            ["stand-in", "platform", "--listen", f"127.0.0.1:{self.platform_port}"])
+        self.backends = {}
+        self.configuration = {
+            "version": 0, "deployment": "demo",
+            "availability_zones": list(zones), "databases": []}
+        for number in range(1, databases + 1):
+            self.add_database(number, slots)
+        self.instances = {}
+        for number in range(1, instances + 1):
+            self.add_instance(number, zones[(number - 1) % len(zones)])
+        wait_until(lambda: self.platform_answers(), "the platform answers")
+        self.register()
+        self.publish(0)
+
+    def start(self, name, arguments):
+        process = Process(name, arguments, self.log_folder)
+        self.processes.append(process)
+        return process
+
+    def add_database(self, number, slots):
+        servers = []
+        for slot in range(slots):
+            port = free_port()
+            process = self.start(
+                f"backend-{number}-{slot}",
+                ["stand-in", "backend", "--listen", f"127.0.0.1:{port}",
+                 "--connections", str(self.connections)])
+            self.backends[number, slot] = (process, port)
+            servers.append({"availability_zone": self.zones[slot % len(self.zones)],
+                            "host": "127.0.0.1", "port": port})
+        self.configuration["databases"].append(
+            {"id": number, "name": f"database-{number}",
+             "connections": self.connections, "default_max_staleness_ms": 0,
+             "backend_servers": servers})
+
+    def add_instance(self, number, zone):
+        ports = {"callers": free_port(), "operators": free_port(),
+                 "peers": free_port(), "zone": zone}
+        self.instances[number] = ports
+        self.start_instance(number)
+
+    def start_instance(self, number):
+        ports = self.instances[number]
+        ports["process"] = self.start(
+            f"instance-{number}-{len(self.processes)}",
+            ["serve", "--instance", str(number), "--zone", ports["zone"],
+             "--platform", f"127.0.0.1:{self.platform_port}",
+             "--callers", f"127.0.0.1:{ports['callers']}",
+             "--operators", f"127.0.0.1:{ports['operators']}",
+             "--peers", f"127.0.0.1:{ports['peers']}"])
+
+    def platform_answers(self):
+        return exchange(self.platform_port, "GET", "/v1/instances")[0] == 200
+
+    def register(self):
+        for number, ports in self.instances.items():
+            entry = {"id": number, "availability_zone": ports["zone"],
+                     "host": "127.0.0.1", "port": ports["peers"], "state": "live"}
+            exchange(self.platform_port, "PUT", f"/v1/instances/{number}", entry)
+
+    def publish(self, base_version):
+        body = {"expected_version": base_version, "value": self.configuration}
+        return exchange(self.platform_port, "PUT", "/v1/rows/configuration", body)
+
+    def platform_faults(self, **faults):
+        return exchange(self.platform_port, "PUT", "/v1/faults", faults)
+
+    def post(self, instance, target, body, timeout=15):
+        return exchange(self.instances[instance]["callers"], "POST", target, body,
+                        timeout)
+
+    def statement(self, instance, sql, params=(), access="read", database=1, **fields):
+        body = {"database": f"database-{database}", "sql": sql,
+                "params": list(params), "access": access, **fields}
+        return self.post(instance, "/v1/statements", body)
+
+    def operator(self, instance, target, method="GET"):
+        return exchange(self.instances[instance]["operators"], method, target)
+
+    def wait_ready(self):
+        """Waits until every instance takes writes for every database."""
+        for instance in self.instances:
+            wait_until(lambda: self.operator(instance, "/v1/ready")[0] == 200,
+                       f"instance {instance} is ready")
+            for database in range(1, len(self.configuration["databases"]) + 1):
+                wait_until(lambda: self.statement(
+                    instance, "SELECT 1", database=database)[0] == 200,
+                    f"instance {instance} serves database {database}")
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+
+
+def wait_until(condition, what, timeout=30):
+    """Waits for a condition; connection failures count as not yet."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise AssertionError(f"not within {timeout} s: {what}")
