Decisions under seeded faults: model, invariant checker, planted faults

Cause: the decisions had been run only over three healthy processes. Change: a virtual clock, one event queue and fakes of the platform, the backend servers and the other instances drive the decision classes that serve runs; a checker that sees everything watches fourteen promises; each of fifteen planted faults is found under the name of the promise that it breaks. Found by it and mended here: a refusal at the front door claimed not_run of a repeated request; abandoned transactions held every connection of a server (now at most half); an attempt's own time-out ended a request that had time left; a restarted instance gave a leaving primary a new period of grace; an instance paused past the grace sent queued work to a leaving server. Ruled out as faults of the decisions, mended in the model: the server kept connections of dead instances, statements arrived on connections that the server did not know, a refusal counted that its caller had given up waiting for. Failed try: tombstoning every write of unknown outcome at once; it turned writes that a repetition under the same key completes into refusals. Now repeated first, tombstoned in the last 30% of the time.

--- a/plantaintiller/backends/connection.cpp
+++ b/plantaintiller/backends/connection.cpp
@@ -105,6 +105,10 @@
         "hostaddr=" + address_.host + " port=" + std::to_string(address_.port) +
         " dbname=plantaintiller user=" + address_.role +
         " sslmode=disable"
+        // Finds connections that have gone silent: the kernel ends one whose
+        // data stays unacknowledged, or whose idle probes do.
+        " keepalives_idle=1 keepalives_interval=1 keepalives_count=2"
+        " tcp_user_timeout=700"
         " gssencmode=disable client_encoding=UTF8";
     handle_.reset(PQconnectStart(settings.c_str()));
     if (handle_ == nullptr || PQstatus(handle_.get()) == CONNECTION_BAD) {
--- a/plantaintiller/callers/statement_codec.cpp
+++ b/plantaintiller/callers/statement_codec.cpp
@@ -190,7 +190,7 @@
   constexpr std::array<std::string_view, 11> kKnown{
       "database",         "sql",        "params",     "access",
       "session_token",    "request_id", "idempotent", "deadline_ms",
-      "max_staleness_ms", "class",      "transaction"};
+      "max_staleness_ms", "class",      "repeated"};
   for (const auto& field : fields) {
     const bool known =
         std::find(kKnown.begin(), kKnown.end(),
@@ -246,6 +246,7 @@
   }
   BOOST_LEAF_ASSIGN(work.access, ParseAccess(fields, kind));
   BOOST_LEAF_ASSIGN(work.idempotent, OptionalFlag(fields, "idempotent"));
+  BOOST_LEAF_ASSIGN(work.repeated, OptionalFlag(fields, "repeated"));
   BOOST_LEAF_ASSIGN(
       work.max_staleness,
       OptionalSpan(fields, "max_staleness_ms", database.default_max_staleness,
--- a/plantaintiller/core/statement.h
+++ b/plantaintiller/core/statement.h
@@ -68,6 +68,9 @@
   request_class priority = request_class::kFresh;
   /// Whether the caller allows the statement to take effect more than once.
   bool idempotent = false;
+  /// Whether an earlier request with this key may have run: a refusal must then
+  /// not claim that it has not.
+  bool repeated = false;
   /// Whether the request key is kept with the write.
   bool has_key = false;
   request_key key;
@@ -118,4 +121,15 @@
   return outcome;
 }
 
+/// Makes the refusal of a request that no attempt was made for. A repeated one
+/// may have run before, whatever becomes of this one.
+inline statement_outcome RefuseUnstarted(refusal_type type,
+                                         const statement& work,
+                                         milliseconds retry_after) {
+  return Refuse(
+      type,
+      work.repeated ? effect_state::kOutcomeUnknown : effect_state::kNotRun,
+      retry_after);
+}
+
 }  // namespace plantaintiller::core
--- a/plantaintiller/decisions/faults.h
+++ b/plantaintiller/decisions/faults.h
@@ -29,6 +29,8 @@
   bool write_without_key = false;
   /// Runs writes on a server of any term.
   bool ignore_term = false;
+  /// Reads at servers of any term, confirmed or not.
+  bool read_any_term = false;
   /// Keeps sending new work to a leaving server.
   bool use_leaving_server = false;
   /// Drops requests in flight when shutting down.
--- a/plantaintiller/decisions/instance_decider.cpp
+++ b/plantaintiller/decisions/instance_decider.cpp
@@ -43,15 +43,13 @@
                        work.kind == core::statement_kind::kCommit ||
                        work.kind == core::statement_kind::kRollback;
   if (draining_ && !goes_on) {
-    actions_.AnswerCaller(
-        ticket, Refuse(refusal_type::kShuttingDown, effect_state::kNotRun,
-                       kRetryElsewhere));
+    actions_.AnswerCaller(ticket, RefuseUnstarted(refusal_type::kShuttingDown,
+                                                  work, kRetryElsewhere));
     return;
   }
   if (!IsReady()) {
-    actions_.AnswerCaller(ticket,
-                          Refuse(refusal_type::kNotReady, effect_state::kNotRun,
-                                 kRetryWhenReady));
+    actions_.AnswerCaller(ticket, RefuseUnstarted(refusal_type::kNotReady, work,
+                                                  kRetryWhenReady));
     return;
   }
   router_.OnRequest(ticket, work, now);
@@ -174,6 +172,7 @@
 void instance_decider::OnConfiguration(
     const std::shared_ptr<const core::configuration>& offered,
     core::time_point now) {
+  const bool first = !IsReady();
   if (!configuration_.Offer(offered,
                             settings_.faults.accept_older_configuration)) {
     return;
@@ -181,9 +180,24 @@
   actions_.NoteDecision({decision_kind::kAdoptConfiguration,
                          core::backend_server_id(), settings_.self,
                          offered->version});
+  if (first) {
+    DenyGrace(*offered, now);
+  }
   PlaceConnections(now);
 }
 
+void instance_decider::DenyGrace(const core::configuration& configuration,
+                                 core::time_point now) {
+  // A new process cannot tell how long these have been leaving already.
+  for (const core::database_settings& database : configuration.databases) {
+    for (core::slot_number slot = 0; slot < database.servers.size(); ++slot) {
+      if (database.servers[slot].leaving) {
+        leaving_since_[{database.id, slot}] = now - settings_.leaving_grace;
+      }
+    }
+  }
+}
+
 void instance_decider::OnInstanceList(
     const std::vector<core::instance_entry>& list,
     core::time_point now) {
@@ -204,7 +218,7 @@
 }
 
 bool instance_decider::IsIdle() const {
-  return Unfinished() == 0;
+  return Unfinished() == 0 || settings_.faults.drop_on_shutdown;
 }
 
 const group_keeper* instance_decider::Keeper(core::database_id database) const {
@@ -342,11 +356,14 @@
                                 core::backend_server_id server,
                                 core::time_point now) {
   if (!settings.leaving || settings_.faults.use_leaving_server) {
-    leaving_since_.erase(server);
+    if (leaving_since_.erase(server) > 0) {
+      executor_.SetClosing(server, core::time_point::max());
+    }
     return false;
   }
   const core::time_point since =
       leaving_since_.try_emplace(server, now).first->second;
+  executor_.SetClosing(server, since + settings_.leaving_grace);
   const group_keeper* keeper = Keeper(server.database);
   const bool is_primary = keeper != nullptr && keeper->Record().term != 0 &&
                           keeper->Record().primary == server.slot;
--- a/plantaintiller/decisions/request_router.cpp
+++ b/plantaintiller/decisions/request_router.cpp
@@ -40,6 +40,8 @@
     case refusal_type::kNoExecutor:
     case refusal_type::kConnectionLost:
     case refusal_type::kSuperseded:
+    // The attempt's time has run out; the request may have some left.
+    case refusal_type::kDeadlineExceeded:
       return true;
     default:
       return false;
@@ -66,14 +68,14 @@
     retry_after = kRetryAfterFailure;
   }
   if (problem != refusal_type::kNone) {
-    actions_.AnswerCaller(ticket,
-                          Refuse(problem, effect_state::kNotRun, retry_after));
+    actions_.AnswerCaller(ticket, RefuseUnstarted(problem, work, retry_after));
     return;
   }
   budget_.OnRequest();
   request item;
   item.ticket = ticket;
   item.work = work;
+  item.may_have_run = work.repeated;
   const std::uint64_t handle = requests_.Add(std::move(item));
   Route(handle, *requests_.Find(handle), now);
 }
@@ -276,7 +278,7 @@
   }
   const bool write = item.work.access == core::access_kind::kWrite;
   if (write && item.may_have_run) {
-    OnUnknownWrite(handle, item, outcome.refusal, now);
+    OnUnknownWrite(handle, item, outcome, now);
     return;
   }
   if (!write && item.at_replica && !IsPinned(item.work) &&
@@ -304,18 +306,34 @@
   Park(item, now);
 }
 
+bool request_router::IsTimeToCancel(const request& item,
+                                    core::time_point now) const {
+  const core::duration whole = item.work.deadline - item.work.arrived;
+  return now - item.work.arrived >= whole * settings_.repeat_percent / 100;
+}
+
 void request_router::OnUnknownWrite(std::uint64_t handle,
                                     request& item,
-                                    refusal_type why,
+                                    const core::statement_outcome& outcome,
                                     core::time_point now) {
-  const bool can_resolve = item.work.has_key &&
-                           now + settings_.first_delay < item.work.deadline &&
-                           parked_ < settings_.parked;
-  if (!can_resolve) {
-    AnswerRefusal(handle, why, kRetryAfterFailure);
+  if (outcome.refusal == refusal_type::kRequestIdReused) {
+    Answer(handle, outcome);
+    return;
+  }
+  const bool has_time = now + settings_.first_delay < item.work.deadline &&
+                        parked_ < settings_.parked;
+  const bool may_go_on = outcome.refusal != refusal_type::kOverloaded;
+  const bool repeatable = item.work.has_key || item.work.idempotent;
+  if (!repeatable || !has_time || !may_go_on) {
+    AnswerRefusal(handle, outcome.refusal, kRetryAfterFailure);
     return;
   }
-  item.resolving = true;
+  // The statement can no longer succeed, or there is no time for it to; the
+  // original may still be on its way, so it is cancelled first.
+  const bool failed = outcome.refusal == refusal_type::kStatementFailed;
+  item.resolving =
+      item.work.has_key && (item.resolving || failed || IsPinned(item.work) ||
+                            IsTimeToCancel(item, now));
   Park(item, now);
 }
 
@@ -335,8 +353,8 @@
   const request* item = requests_.Find(handle);
   const bool settled = outcome.Succeeded() ||
                        outcome.refusal == refusal_type::kCancelled ||
-                       outcome.refusal == refusal_type::kStatementFailed;
-  if (!settled && outcome.effect != effect_state::kRolledBack) {
+                       outcome.effect == effect_state::kRolledBack;
+  if (!settled) {
     outcome.effect = item->may_have_run ? effect_state::kOutcomeUnknown
                                         : effect_state::kNotRun;
   }
--- a/plantaintiller/decisions/request_router.h
+++ b/plantaintiller/decisions/request_router.h
@@ -24,9 +24,12 @@
   /// Shortest and longest delay before a retry.
   core::milliseconds first_delay{20};
   core::milliseconds longest_delay{200};
-  /// Longest time for one attempt of a write, so that its outcome can be found
-  /// out before the request's deadline.
+  /// Longest time for one attempt of a write, so that it can be repeated before
+  /// the request's deadline.
   core::milliseconds attempt_timeout{2000};
+  /// Part of the deadline, in percent, after which a write of unknown outcome
+  /// is no longer repeated but cancelled by a tombstone.
+  int repeat_percent = 70;
   /// Chance below which a replica is not tried, but for a few explorations.
   double least_chance = 0.6;
   /// Share of reads that try a replica of low chance all the same.
@@ -36,6 +39,11 @@
 /// Carries each caller's request to one final answer: chooses the backend
 /// server and the instance that holds its connections, repeats what may be
 /// repeated, and finds out what became of a write whose answer was lost.
+///
+/// A write with a key may be repeated whatever became of earlier attempts: the
+/// key is unique in the database, so that at most one of them commits. Towards
+/// the end of its time a write of unknown outcome is cancelled instead, by a
+/// tombstone under its key.
 class request_router {
  public:
   request_router(const router_settings& settings,
@@ -72,6 +80,7 @@
     std::uint64_t ticket = 0;
     core::statement work;
     phase state = phase::kParked;
+    // Whether the write is being cancelled rather than repeated.
     bool resolving = false;
     bool may_have_run = false;
     bool avoid_replicas = false;
@@ -106,8 +115,9 @@
                      core::milliseconds retry_after);
   void OnUnknownWrite(std::uint64_t handle,
                       request& item,
-                      core::refusal_type why,
+                      const core::statement_outcome& outcome,
                       core::time_point now);
+  bool IsTimeToCancel(const request& item, core::time_point now) const;
   void OnRefusal(std::uint64_t handle,
                  request& item,
                  const core::statement_outcome& outcome,
--- a/plantaintiller/decisions/statement_executor.cpp
+++ b/plantaintiller/decisions/statement_executor.cpp
@@ -96,6 +96,13 @@
   }
 }
 
+void statement_executor::SetClosing(core::backend_server_id server,
+                                    core::time_point at) {
+  if (server_pool* pool = PoolOf(server); pool != nullptr) {
+    pool->closes_at = at;
+  }
+}
+
 int statement_executor::Connections(core::backend_server_id server) const {
   const auto found = pools_.find(server);
   return found == pools_.end() ? 0 : static_cast<int>(found->second.limit);
@@ -132,7 +139,7 @@
   }
   const core::backend_server_id server{work.database, slot};
   server_pool* pool = PoolOf(server);
-  if (pool == nullptr || pool->limit == 0) {
+  if (pool == nullptr || pool->limit == 0 || now >= pool->closes_at) {
     RefuseNow(item, refusal_type::kNoExecutor, kRetrySoon, now);
     return;
   }
@@ -182,14 +189,18 @@
       std::max(1, pool.queue.ReservedShare(priority));
   const core::duration wait = pool.service_time * ahead / share;
   refusal_type problem = refusal_type::kNone;
+  const bool begins = item.kind == attempt_kind::kBegin;
   if (now >= item.work.deadline) {
     problem = refusal_type::kDeadlineExceeded;
+  } else if (begins && !HasRoomForTransaction(pool)) {
+    problem = refusal_type::kOverloaded;
   } else if (works_.Full() || now + wait > item.work.deadline) {
     problem = refusal_type::kOverloaded;
   }
   if (problem == refusal_type::kNone) {
     const std::uint64_t handle = works_.Add(item);
     if (pool.queue.Push(priority, handle)) {
+      pool.transactions += begins ? 1 : 0;
       return true;
     }
     works_.Remove(handle);
@@ -201,11 +212,17 @@
   return false;
 }
 
+bool statement_executor::HasRoomForTransaction(const server_pool& pool) const {
+  const int most =
+      static_cast<int>(pool.limit) * settings_.transaction_percent / 100;
+  return pool.transactions < std::max(1, most);
+}
+
 void statement_executor::Dispatch(core::backend_server_id server,
                                   core::time_point now) {
   while (true) {
     server_pool* pool = PoolOf(server);
-    if (pool == nullptr) {
+    if (pool == nullptr || now >= pool->closes_at) {
       return;
     }
     const auto first = pool->connections.begin();
@@ -411,7 +428,9 @@
     return true;
   }
   const confirmation_tracker& tracker = keeper.Tracker();
-  if (item.seen.adopted_term != keeper.Record().term && !faults_.ignore_term) {
+  const bool any_term =
+      faults_.ignore_term || (!write && faults_.read_any_term);
+  if (item.seen.adopted_term != keeper.Record().term && !any_term) {
     // The term ended before the position was confirmed in it.
     Finish(handle,
            Refuse(refusal_type::kSuperseded, effect_state::kOutcomeUnknown,
@@ -446,7 +465,13 @@
       return false;
     }
   }
-  if (!tracker.IsConfirmed(item.seen.adopted_term, item.seen.position.offset)) {
+  if (!write && faults_.read_any_term) {
+    FinishConfirmed(handle, item, now);
+    return true;
+  }
+  const core::term_number seen_term =
+      faults_.ignore_term ? keeper.Record().term : item.seen.adopted_term;
+  if (!tracker.IsConfirmed(seen_term, item.seen.position.offset)) {
     return false;
   }
   FinishConfirmed(handle, item, now);
@@ -473,6 +498,9 @@
                                 core::time_point now) {
   work_item* item = works_.Find(handle);
   outcome.server = {item->work.database, item->slot};
+  if (item->kind == attempt_kind::kBegin && !outcome.Succeeded()) {
+    PoolOf(outcome.server)->transactions -= 1;
+  }
   work_origin origin = item->origin;
   if (faults_.answer_oldest) {
     // Pairs answers with requests by order instead of by identity.
@@ -618,6 +646,7 @@
   }
   const open_transaction closed = *open;
   transactions_.Remove(number);
+  PoolOf(closed.server)->transactions -= 1;
   // The server rolls back whatever is open on a closed connection.
   FreeConnection(closed.server, closed.connection, closed.priority, !clean);
   Dispatch(closed.server, now);
--- a/plantaintiller/decisions/statement_executor.h
+++ b/plantaintiller/decisions/statement_executor.h
@@ -23,7 +23,10 @@
   /// Pause of a connection that the server refused for too many connections.
   core::milliseconds connection_pause{250};
   /// Open transactions without a statement are ended after this long.
-  core::milliseconds transaction_idle{15000};
+  core::milliseconds transaction_idle{5000};
+  /// Part of a server's connections, in percent, that open transactions may
+  /// hold, so that single statements always find one.
+  int transaction_percent = 50;
   /// Most open transactions.
   std::size_t transactions = 1024;
 };
@@ -65,6 +68,9 @@
   void SetConnections(core::backend_server_id server,
                       int connections,
                       core::time_point now);
+  /// Sets when a server stops getting work, even if this instance should be
+  /// paused until after that; time_point::max() takes it back.
+  void SetClosing(core::backend_server_id server, core::time_point at);
   /// Connections held to a server.
   int Connections(core::backend_server_id server) const;
 
@@ -119,6 +125,9 @@
     // Connections numbered `limit` and above end with the work they carry.
     std::size_t limit;
     std::vector<connection_slot> connections;
+    core::time_point closes_at = core::time_point::max();
+    // Transactions open or being opened.
+    int transactions = 0;
     // Smoothed time that a statement holds a connection.
     core::duration service_time{std::chrono::milliseconds(2)};
   };
@@ -135,6 +144,7 @@
   group_keeper* KeeperOf(core::database_id database);
   void SubmitInTransaction(work_item item, core::time_point now);
   bool Admit(server_pool& pool, const work_item& item, core::time_point now);
+  bool HasRoomForTransaction(const server_pool& pool) const;
   void Dispatch(core::backend_server_id server, core::time_point now);
   bool CheckPlace(const work_item& item,
                   const group_keeper& keeper,
--- /dev/null
+++ b/plantaintiller/model/event_queue.cpp
@@ -0,0 +1,23 @@
+#include "plantaintiller/model/event_queue.h"
+
+#include <utility>
+
+namespace plantaintiller::model {
+
+void event_queue::After(core::duration delay, task work) {
+  entries_.push({now_ + delay, next_order_, std::move(work)});
+  next_order_ += 1;
+}
+
+void event_queue::RunUntil(core::time_point end) {
+  while (!entries_.empty() && entries_.top().at <= end) {
+    // The queue gives out only constant entries; the entry goes at once.
+    task work = std::move(const_cast<entry&>(entries_.top()).work);
+    now_ = entries_.top().at;
+    entries_.pop();
+    work();
+  }
+  now_ = end;
+}
+
+}  // namespace plantaintiller::model
--- /dev/null
+++ b/plantaintiller/model/fake_server.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "plantaintiller/decisions/instance_actions.h"
+#include "plantaintiller/model/history_checker.h"
+#include "plantaintiller/model/model_result.h"
+#include "plantaintiller/model/network.h"
+#include "plantaintiller/standin/replica_log.h"
+
+namespace plantaintiller::model {
+
+/// A connection as the server knows it.
+struct connection_key {
+  core::instance_id instance;
+  std::uint64_t incarnation = 0;
+  std::uint32_t number = 0;
+  std::uint64_t generation = 0;
+  friend auto operator<=>(const connection_key&,
+                          const connection_key&) = default;
+};
+
+/// What a log entry of the model holds.
+struct model_entry {
+  /// Requests whose writes it commits; none for a tombstone.
+  std::vector<request_number> writes;
+  bool has_key = false;
+  bool is_tombstone = false;
+  core::request_key key;
+  std::uint64_t fingerprint = 0;
+};
+
+/// One backend server of the model: a log, the request keys in it, replication
+/// from its primary, and the connections that are open.
+class fake_server {
+ public:
+  /// Finds a server of the same database. It must stay where it is.
+  using finder = std::function<fake_server&(core::slot_number)>;
+
+  fake_server(core::backend_server_id id,
+              std::size_t connections,
+              event_queue& queue,
+              network& net,
+              history_checker& checker,
+              finder find);
+
+  /// @name Messages from instances; answers run at the instance.
+  /// @{
+  /// @param opens whether the attempt comes with a new connection.
+  void OnAttempt(const connection_key& connection,
+                 bool opens,
+                 const decisions::attempt& work,
+                 const std::function<void(decisions::attempt_result)>& reply);
+  void OnClose(const connection_key& connection);
+  void OnProbe(node_id from,
+               const decisions::server_probe& probe,
+               const std::function<void(core::server_state)>& reply);
+  void OnOrder(node_id from,
+               const decisions::server_order& order,
+               const std::function<void()>& reply);
+  /// @}
+
+  /// The process was killed: connections go, the log stays.
+  void OnKilled();
+  /// The process runs again.
+  void OnRestarted();
+  /// Ends the connections of an instance that has died.
+  void OnInstanceDied(core::instance_id instance);
+
+  const standin::replica_log<model_entry>& Log() const { return log_; }
+  /// All requests whose writes are in the log, in order.
+  std::vector<request_number> Writes() const;
+  node_id Node() const { return node_id::Server(id_); }
+
+  /// Delay of replication.
+  core::duration lag{0};
+  /// Time that a statement takes.
+  core::duration service_time = std::chrono::milliseconds(1);
+
+ private:
+  struct open_connection {
+    bool busy = false;
+    bool in_transaction = false;
+    core::term_number term = 0;
+    request_number transaction = 0;
+    std::vector<request_number> pending;
+  };
+  struct probe_waiter {
+    std::uint64_t offset = 0;
+    core::term_number term = 0;
+    std::function<void()> answer;
+    std::uint64_t number = 0;
+  };
+  struct fetch_waiter {
+    core::slot_number follower = 0;
+    core::term_number term = 0;
+    std::uint64_t offset = 0;
+  };
+
+  decisions::attempt_result Execute(const connection_key& key,
+                                    const decisions::attempt& work);
+  decisions::attempt_status ExecuteWrite(const decisions::attempt& work,
+                                         std::vector<request_number> writes);
+  std::shared_ptr<model_result> ResultFor(const decisions::attempt& work) const;
+  const model_entry* FindKey(const core::request_key& key) const;
+  void OnChanged();
+
+  void Fetch();
+  void OnFetch(core::slot_number follower,
+               core::term_number term,
+               standin::replica_log<model_entry> theirs);
+  void SendEntries(const fetch_waiter& to);
+  void OnAgreed(core::term_number term,
+                std::size_t common,
+                core::log_position asked_from);
+  void OnEntries(core::term_number term,
+                 std::uint64_t after,
+                 std::vector<standin::replica_log<model_entry>::entry> entries);
+
+  core::backend_server_id id_;
+  std::size_t connection_limit_;
+  event_queue& queue_;
+  network& net_;
+  history_checker& checker_;
+  finder find_;
+  standin::replica_log<model_entry> log_;
+  std::map<connection_key, open_connection> connections_;
+  // Closed by the instance; what arrives late on them is dropped.
+  std::set<connection_key> closed_;
+  std::vector<probe_waiter> probe_waiters_;
+  std::vector<fetch_waiter> fetch_waiters_;
+  std::uint64_t next_waiter_ = 0;
+  core::term_number follow_term_ = 0;
+  core::slot_number follow_primary_ = 0;
+  std::uint64_t fetch_round_ = 0;
+};
+
+}  // namespace plantaintiller::model
--- /dev/null
+++ b/plantaintiller/model/model_instance.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "plantaintiller/decisions/instance_actions.h"
+#include "plantaintiller/decisions/instance_decider.h"
+#include "plantaintiller/model/fake_platform.h"
+#include "plantaintiller/model/fake_server.h"
+#include "plantaintiller/model/history_checker.h"
+#include "plantaintiller/model/network.h"
+
+namespace plantaintiller::model {
+
+class model_instance;
+
+/// What an instance of the model can reach.
+struct instance_surroundings {
+  event_queue& queue;
+  network& net;
+  fake_platform& platform;
+  history_checker& checker;
+  std::function<fake_server&(core::backend_server_id)> server;
+  std::function<model_instance&(core::instance_id)> instance;
+  /// Time to open a connection to a backend server.
+  core::duration connect_time;
+};
+
+/// An entry instance of the model: the decisions that `serve` runs, with their
+/// actions carried out over the modelled network.
+class model_instance : public decisions::instance_actions {
+ public:
+  /// Given the request, with its times at the instance, and its outcome.
+  using answer = std::function<void(const core::statement&,
+                                    const core::statement_outcome&)>;
+
+  model_instance(const decisions::instance_decider_settings& settings,
+                 instance_surroundings surroundings,
+                 std::uint64_t seed);
+  ~model_instance() override;
+
+  /// Starts the process, with nothing kept from before.
+  void Start();
+  /// The process has died.
+  void OnKilled();
+  /// Takes a caller's request. Call at the instance.
+  void OnCaller(core::statement work, answer done);
+  /// Starts a graceful shutdown; the process ends by itself.
+  void Drain();
+  /// Open connections go silent: nothing passes on them any more.
+  void SilenceConnections();
+
+  const decisions::instance_decider& Decider() const { return *decider_; }
+  node_id Node() const { return node_; }
+  bool HasEnded() const { return ended_; }
+  core::time_point StartedAt() const { return started_at_; }
+
+ private:
+  struct connection {
+    std::uint64_t generation = 0;
+    bool open = false;
+    bool silent = false;
+  };
+  struct pending {
+    core::statement work;
+    answer done;
+  };
+
+  void RunAttempt(const decisions::attempt& work) override;
+  void CloseConnection(core::backend_server_id server,
+                       std::uint32_t number) override;
+  void ProbeServer(const decisions::server_probe& probe) override;
+  void OrderServer(const decisions::server_order& order) override;
+  void ForwardStatement(core::instance_id to,
+                        const decisions::forwarded_statement& work) override;
+  void ReplyToPeer(core::instance_id to,
+                   const decisions::forwarded_reply& reply) override;
+  void DropPeer(core::instance_id peer) override;
+  void SendHeartbeat(core::instance_id to,
+                     const decisions::heartbeat& beat) override;
+  void ReadGroupRecord(core::database_id database) override;
+  void SwapGroupRecord(core::database_id database,
+                       const core::group_record& record) override;
+  void ReadConfiguration(std::uint64_t known_version) override;
+  void PullConfiguration(core::instance_id from) override;
+  void ReadInstanceList() override;
+  void AnswerCaller(std::uint64_t ticket,
+                    const core::statement_outcome& outcome) override;
+  void NoteDecision(const decisions::decision_note& note) override;
+
+  void OnUnacknowledged(const decisions::attempt& work,
+                        std::uint64_t generation);
+  void Abandon(core::backend_server_id server, std::uint32_t number);
+  void Tick();
+  void CheckDrained();
+  void CheckDeadlines();
+  void TakeConfiguration(
+      const std::shared_ptr<const core::configuration>& offered);
+  void OnForwarded(core::instance_id from,
+                   const decisions::forwarded_statement& work);
+  core::time_point Now() const { return around_.queue.Now(); }
+
+  decisions::instance_decider_settings settings_;
+  instance_surroundings around_;
+  std::uint64_t seed_;
+  node_id node_;
+  std::unique_ptr<decisions::instance_decider> decider_;
+  std::map<std::pair<core::backend_server_id, std::uint32_t>, connection>
+      connections_;
+  std::uint64_t next_generation_ = 0;
+  std::uint64_t next_ticket_ = 0;
+  std::map<std::uint64_t, pending> pending_;
+  // Where a forwarded statement came from, by the number given to it here.
+  std::map<std::uint64_t, std::pair<core::instance_id, std::uint64_t>> inbound_;
+  core::time_point started_at_;
+  core::time_point drain_started_;
+  core::time_point idle_since_;
+  bool ended_ = false;
+};
+
+}  // namespace plantaintiller::model
--- /dev/null
+++ b/plantaintiller/model/model_session.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "plantaintiller/core/session_token.h"
+#include "plantaintiller/model/history_checker.h"
+#include "plantaintiller/model/model_instance.h"
+#include "plantaintiller/model/world_settings.h"
+
+namespace plantaintiller::model {
+
+/// What sessions share.
+struct session_surroundings {
+  event_queue& queue;
+  network& net;
+  history_checker& checker;
+  std::vector<std::unique_ptr<model_instance>>& instances;
+  const load_settings& load;
+  int databases = 1;
+  /// Last request number given out.
+  request_number& last_request;
+};
+
+/// Counts over all sessions.
+struct session_counts {
+  std::uint64_t requests = 0;
+  std::uint64_t writes_done = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t abandoned = 0;
+};
+
+/// A caller's session: reads, writes and transactions, one at a time, at
+/// whatever instance, with a token that it carries along.
+class model_session {
+ public:
+  model_session(std::uint32_t number,
+                session_surroundings around,
+                session_counts& counts,
+                std::uint64_t seed);
+
+  /// Starts; ends new work at a time.
+  void Start(core::time_point end);
+
+ private:
+  struct open_request {
+    core::statement work;
+    request_number number = 0;
+    int tries = 0;
+    std::uint64_t sending = 0;
+  };
+  struct open_transaction {
+    request_number name = 0;
+    core::transaction_id id;
+    core::database_id database;
+    int statements_left = 0;
+  };
+
+  void Next();
+  void Think();
+  void StartRead(core::database_id database);
+  void StartWrite(core::database_id database);
+  void StartTransaction(core::database_id database);
+  void ContinueTransaction();
+  core::statement NewStatement(core::database_id database,
+                               core::statement_kind kind,
+                               core::access_kind access,
+                               request_number transaction);
+  void Send(core::statement work);
+  void SendAgain();
+  void OnAnswer(std::uint64_t sending,
+                const core::statement& work,
+                const core::statement_outcome& outcome);
+  void OnNothing(std::uint64_t sending, bool not_sent);
+  void OnRefused(const core::statement& work,
+                 const core::statement_outcome& outcome);
+  void OnDone(const core::statement& work,
+              const core::statement_outcome& outcome);
+  model_instance& PickInstance(bool another);
+  double Draw();
+
+  std::uint32_t number_;
+  session_surroundings around_;
+  session_counts& counts_;
+  std::mt19937_64 random_;
+  node_id node_;
+  core::time_point end_;
+  std::size_t instance_ = 0;
+  core::session_token token_;
+  std::map<core::database_id, std::vector<request_number>> own_writes_;
+  std::map<core::database_id, std::vector<request_number>> last_seen_;
+  std::optional<open_request> request_;
+  std::optional<open_transaction> transaction_;
+  std::uint64_t next_sending_ = 0;
+};
+
+}  // namespace plantaintiller::model
--- /dev/null
+++ b/plantaintiller/model/world.cpp
@@ -0,0 +1,475 @@
+#include "plantaintiller/model/world.h"
+
+#include <xxhash.h>
+
+#include <iterator>
+#include <utility>
+
+namespace plantaintiller::model {
+
+using core::milliseconds;
+
+namespace {
+
+constexpr milliseconds kWarmUp{3000};
+constexpr milliseconds kFaultPause{500};
+/// Time left at the end in which every database must take a write.
+constexpr milliseconds kServiceCheck{3000};
+/// Time that a new instance may take until it serves.
+constexpr milliseconds kStartTime{3000};
+constexpr std::uint32_t kFirstCheckCaller = 100000;
+
+}  // namespace
+
+world::world(const world_settings& settings, std::uint64_t seed)
+    : settings_(settings),
+      random_(seed),
+      net_(queue_, settings_.latencies, seed + 1),
+      checker_(settings_.decider.faults),
+      platform_(queue_, net_, seed + 2) {
+  net_.Place(node_id::Platform(), settings_.zones[0].name + "-platform",
+             settings_.zones[0].region);
+  MakeServers();
+  MakeInstances();
+  MakeSessions(seed + 3);
+}
+
+world::~world() = default;
+
+core::configuration world::MakeConfiguration() const {
+  core::configuration made;
+  made.deployment = "model";
+  for (const zone_settings& zone : settings_.zones) {
+    made.zones.push_back(zone.name);
+  }
+  for (int number = 1; number <= settings_.databases; ++number) {
+    core::database_settings database;
+    database.id = {static_cast<std::uint32_t>(number)};
+    database.name = "database-" + std::to_string(number);
+    database.connections = settings_.connections;
+    for (int slot = 0; slot < settings_.slots; ++slot) {
+      const std::size_t zone =
+          static_cast<std::size_t>(number + slot) % settings_.zones.size();
+      core::backend_server_settings server;
+      server.zone = core::ZoneIdOf(settings_.zones[zone].name);
+      database.servers.push_back(std::move(server));
+    }
+    made.databases.push_back(std::move(database));
+  }
+  return made;
+}
+
+void world::MakeServers() {
+  platform_.Publish(0, MakeConfiguration());
+  for (const core::database_settings& database :
+       platform_.Published().databases) {
+    for (core::slot_number slot = 0; slot < database.servers.size(); ++slot) {
+      const core::backend_server_id id{database.id, slot};
+      const std::size_t zone =
+          (database.id.value + slot) % settings_.zones.size();
+      net_.Place(node_id::Server(id), settings_.zones[zone].name,
+                 settings_.zones[zone].region);
+      auto server = std::make_unique<fake_server>(
+          id, static_cast<std::size_t>(settings_.connections), queue_, net_,
+          checker_, [this, id](core::slot_number other) -> fake_server& {
+            return *servers_.at({id.database, other});
+          });
+      server->lag = settings_.replica_lag;
+      servers_[id] = std::move(server);
+    }
+  }
+}
+
+void world::MakeInstances() {
+  std::vector<core::instance_entry> list;
+  std::uint32_t number = 0;
+  for (const zone_settings& zone : settings_.zones) {
+    for (int n = 0; n < zone.instances; ++n) {
+      number += 1;
+      decisions::instance_decider_settings decider = settings_.decider;
+      decider.self = {number};
+      decider.zone = core::ZoneIdOf(zone.name);
+      net_.Place(node_id::Instance(decider.self), zone.name, zone.region);
+      core::instance_entry entry;
+      entry.id = decider.self;
+      entry.zone = decider.zone;
+      list.push_back(std::move(entry));
+      instances_.push_back(std::make_unique<model_instance>(
+          decider,
+          instance_surroundings{
+              queue_, net_, platform_, checker_,
+              [this](core::backend_server_id id) -> fake_server& {
+                return *servers_.at(id);
+              },
+              [this](core::instance_id id) -> model_instance& {
+                return *instances_[id.value - 1];
+              },
+              settings_.connect_time},
+          random_()));
+    }
+  }
+  platform_.list_lag = milliseconds(0);
+  platform_.SetInstances(std::move(list));
+}
+
+void world::MakeSessions(std::uint64_t seed) {
+  for (int n = 0; n < settings_.load.sessions; ++n) {
+    const auto number = static_cast<std::uint32_t>(n);
+    net_.Place(node_id::Caller(number), "callers", "callers");
+    sessions_.push_back(std::make_unique<model_session>(
+        number,
+        session_surroundings{queue_, net_, checker_, instances_, settings_.load,
+                             settings_.databases, last_request_},
+        counts_, seed + number));
+  }
+}
+
+void world::StartProcesses() {
+  queue_.RunUntil(queue_.Now() + milliseconds(1));
+  for (const auto& instance : instances_) {
+    instance->Start();
+  }
+}
+
+void world::StartSessions(core::time_point end) {
+  for (const auto& session : sessions_) {
+    session->Start(end);
+  }
+}
+
+void world::RunFor(core::duration span) {
+  queue_.RunUntil(queue_.Now() + span);
+}
+
+void world::Run() {
+  StartProcesses();
+  RunFor(kWarmUp);
+  const core::time_point started = queue_.Now();
+  faults_end_ = started + settings_.fault_time;
+  const core::time_point end = faults_end_ + settings_.quiet_time;
+  StartSessions(end - kServiceCheck);
+  if (settings_.with_faults) {
+    ScheduleFault();
+  }
+  queue_.RunUntil(faults_end_);
+  HealEverything();
+  queue_.RunUntil(end - kServiceCheck);
+  CheckService();
+  queue_.RunUntil(end);
+}
+
+void world::ScheduleFault() {
+  queue_.After(RandomSpan(milliseconds(0), 2 * kFaultPause), [this] {
+    if (queue_.Now() < faults_end_) {
+      InjectFault();
+      ScheduleFault();
+    }
+  });
+}
+
+bool world::Chance(double probability) {
+  return std::uniform_real_distribution<double>(0.0, 1.0)(random_) <
+         probability;
+}
+
+core::duration world::RandomSpan(milliseconds least, milliseconds most) {
+  std::uniform_int_distribution<std::int64_t> span(least.count(), most.count());
+  return milliseconds(span(random_));
+}
+
+core::backend_server_id world::RandomServer() {
+  auto found = servers_.begin();
+  std::advance(found, static_cast<std::ptrdiff_t>(random_() % servers_.size()));
+  return found->first;
+}
+
+void world::Log(std::string text) {
+  const auto at = core::ToMilliseconds(queue_.Now().time_since_epoch());
+  fault_log_.push_back(std::to_string(at.count()) + " ms: " + std::move(text));
+}
+
+void world::InjectFault() {
+  switch (random_() % 5) {
+    case 0:
+      FaultInstance();
+      break;
+    case 1:
+      FaultServer();
+      break;
+    case 2:
+      FaultNetwork();
+      break;
+    case 3:
+      FaultPlatform();
+      break;
+    default:
+      FaultConfiguration();
+      break;
+  }
+}
+
+void world::KillInstance(std::size_t number) {
+  model_instance& instance = *instances_[number];
+  net_.Kill(instance.Node());
+  instance.OnKilled();
+  for (const auto& [id, server] : servers_) {
+    server->OnInstanceDied({static_cast<std::uint32_t>(number + 1)});
+  }
+}
+
+void world::RestartInstance(std::size_t number) {
+  model_instance& instance = *instances_[number];
+  if (net_.IsAlive(instance.Node())) {
+    return;
+  }
+  for (const auto& [id, server] : servers_) {
+    server->OnInstanceDied({static_cast<std::uint32_t>(number + 1)});
+  }
+  net_.Restart(instance.Node());
+  instance.Start();
+}
+
+void world::FaultInstance() {
+  const std::size_t number = random_() % instances_.size();
+  model_instance& instance = *instances_[number];
+  if (!net_.IsAlive(instance.Node()) || net_.IsFrozen(instance.Node())) {
+    return;
+  }
+  const std::string who = "instance " + std::to_string(number + 1);
+  switch (random_() % 4) {
+    case 0:
+      Log("kill " + who);
+      KillInstance(number);
+      queue_.After(RandomSpan(milliseconds(300), milliseconds(2000)),
+                   [this, number] { RestartInstance(number); });
+      break;
+    case 1:
+      Log("freeze " + who);
+      net_.Freeze(instance.Node());
+      queue_.After(RandomSpan(milliseconds(200), milliseconds(5000)),
+                   [this, &instance] { net_.Resume(instance.Node()); });
+      break;
+    case 2:
+      Log("drain " + who);
+      instance.Drain();
+      queue_.After(milliseconds(6000),
+                   [this, number] { RestartInstance(number); });
+      break;
+    default:
+      Log("silence connections of " + who);
+      instance.SilenceConnections();
+      break;
+  }
+}
+
+void world::KillServer(core::backend_server_id id) {
+  net_.Kill(node_id::Server(id));
+  servers_.at(id)->OnKilled();
+}
+
+void world::RestartServer(core::backend_server_id id) {
+  if (!net_.IsAlive(node_id::Server(id))) {
+    net_.Restart(node_id::Server(id));
+    servers_.at(id)->OnRestarted();
+  }
+}
+
+void world::FaultServer() {
+  const core::backend_server_id id = RandomServer();
+  const node_id node = node_id::Server(id);
+  if (!net_.IsAlive(node) || net_.IsFrozen(node)) {
+    return;
+  }
+  const std::string who = "server " + std::to_string(id.database.value) + "/" +
+                          std::to_string(id.slot);
+  switch (random_() % 3) {
+    case 0:
+      Log("kill " + who);
+      KillServer(id);
+      queue_.After(RandomSpan(milliseconds(500), milliseconds(4000)),
+                   [this, id] { RestartServer(id); });
+      break;
+    case 1:
+      Log("freeze " + who);
+      net_.Freeze(node);
+      queue_.After(RandomSpan(milliseconds(200), milliseconds(4000)),
+                   [this, node] { net_.Resume(node); });
+      break;
+    default: {
+      Log("slow replication to " + who);
+      servers_.at(id)->lag = RandomSpan(milliseconds(50), milliseconds(1500));
+      queue_.After(
+          RandomSpan(milliseconds(500), milliseconds(3000)),
+          [this, id] { servers_.at(id)->lag = settings_.replica_lag; });
+      break;
+    }
+  }
+}
+
+void world::FaultNetwork() {
+  if (Chance(0.5)) {
+    CutZones();
+  } else {
+    CutNodes();
+  }
+}
+
+void world::CutZones() {
+  const std::size_t zones = settings_.zones.size();
+  // The platform stands apart, so that it can be cut from each zone.
+  std::vector<std::string> names;
+  for (const zone_settings& zone : settings_.zones) {
+    names.push_back(zone.name);
+  }
+  names.push_back(settings_.zones[0].name + "-platform");
+  const std::string from = names[random_() % zones];
+  const std::string to = names[random_() % names.size()];
+  const bool both_ways = Chance(0.6);
+  Log("cut " + from + " from " + to + (both_ways ? "" : ", one way"));
+  net_.SetZoneCut(from, to, true);
+  if (both_ways) {
+    net_.SetZoneCut(to, from, true);
+  }
+  queue_.After(RandomSpan(milliseconds(300), milliseconds(4000)),
+               [this, from, to] {
+                 net_.SetZoneCut(from, to, false);
+                 net_.SetZoneCut(to, from, false);
+               });
+}
+
+void world::CutNodes() {
+  const node_id instance = instances_[random_() % instances_.size()]->Node();
+  const node_id server = node_id::Server(RandomServer());
+  const bool to_server = Chance(0.7);
+  const bool from_server = !to_server || Chance(0.6);
+  Log("cut instance " + std::to_string(instance.number) + " and server " +
+      std::to_string(server.number) + "/" + std::to_string(server.slot));
+  net_.SetNodeCut(instance, server, to_server);
+  net_.SetNodeCut(server, instance, from_server);
+  queue_.After(RandomSpan(milliseconds(300), milliseconds(4000)),
+               [this, instance, server] {
+                 net_.SetNodeCut(instance, server, false);
+                 net_.SetNodeCut(server, instance, false);
+               });
+}
+
+void world::FaultPlatform() {
+  const core::duration span = RandomSpan(milliseconds(300), milliseconds(4000));
+  switch (random_() % 3) {
+    case 0:
+      Log("platform down");
+      platform_.down = true;
+      queue_.After(span, [this] { platform_.down = false; });
+      break;
+    case 1:
+      Log("platform slow");
+      platform_.slowness = RandomSpan(milliseconds(50), milliseconds(600));
+      queue_.After(span, [this] { platform_.slowness = milliseconds(0); });
+      break;
+    default:
+      Log("platform loses answers");
+      platform_.lose_answers = 0.5;
+      queue_.After(span, [this] { platform_.lose_answers = 0.0; });
+      break;
+  }
+}
+
+void world::FaultConfiguration() {
+  // Two operators race from the same version; one of them must lose.
+  const core::configuration base = platform_.Published();
+  const core::backend_server_id id = RandomServer();
+  core::configuration first = base;
+  core::configuration second = base;
+  auto& server = first.databases[id.database.value - 1].servers[id.slot];
+  server.leaving = !server.leaving;
+  second.databases[0].connections = settings_.connections;
+  Log("operators race from version " + std::to_string(base.version));
+  const bool one = platform_.Publish(base.version, std::move(first));
+  const bool two = platform_.Publish(base.version, std::move(second));
+  if (one && two) {
+    checker_.Note(promise::kConfigurationOnlyRises,
+                  "two changes of one version were accepted", queue_.Now());
+  }
+}
+
+void world::HealEverything() {
+  net_.HealAll();
+  platform_.down = false;
+  platform_.slowness = milliseconds(0);
+  platform_.lose_answers = 0.0;
+  for (const auto& [id, server] : servers_) {
+    server->lag = settings_.replica_lag;
+    net_.Resume(node_id::Server(id));
+    RestartServer(id);
+  }
+  for (std::size_t n = 0; n < instances_.size(); ++n) {
+    net_.Resume(instances_[n]->Node());
+    RestartInstance(n);
+  }
+  core::configuration plain = MakeConfiguration();
+  platform_.Publish(platform_.Published().version, std::move(plain));
+}
+
+void world::CheckService() {
+  const std::uint64_t version = platform_.Published().version;
+  const auto in_service = [this](const model_instance& instance) {
+    return net_.IsAlive(instance.Node()) && !instance.Decider().IsDraining() &&
+           queue_.Now() - instance.StartedAt() > kStartTime;
+  };
+  for (const auto& instance : instances_) {
+    const auto current = instance->Decider().Configuration();
+    if (in_service(*instance) &&
+        (current == nullptr || current->version != version)) {
+      checker_.Note(promise::kConfigurationOnlyRises,
+                    "an accepted configuration is not in force", queue_.Now());
+    }
+  }
+  std::uint32_t caller = kFirstCheckCaller;
+  for (int database = 1; database <= settings_.databases; ++database) {
+    for (const auto& instance : instances_) {
+      if (!in_service(*instance)) {
+        continue;
+      }
+      last_request_ += 1;
+      const auto body = std::make_shared<model_body>();
+      body->request = last_request_;
+      core::statement work;
+      work.database = {static_cast<std::uint32_t>(database)};
+      work.access = core::access_kind::kWrite;
+      work.has_key = true;
+      work.key = {2, body->request};
+      work.deadline = work.arrived + milliseconds(2000);
+      work.body = body;
+      caller += 1;
+      instance->OnCaller(work, [this, &instance, database](
+                                   const core::statement&,
+                                   const core::statement_outcome& outcome) {
+        if (!outcome.Succeeded()) {
+          checker_.Note(promise::kServesAfterFaults,
+                        "write of database " + std::to_string(database) +
+                            " at instance " +
+                            std::to_string(instance->Node().number) + ": " +
+                            std::string(core::RefusalName(outcome.refusal)),
+                        queue_.Now());
+        }
+      });
+    }
+  }
+}
+
+std::uint64_t world::Digest() const {
+  std::string text;
+  for (const auto& [id, server] : servers_) {
+    for (const request_number write : server->Writes()) {
+      text += std::to_string(write) + ",";
+    }
+  }
+  text += std::to_string(counts_.requests) + "/" +
+          std::to_string(counts_.unknown) + "/" +
+          std::to_string(checker_.reads) + "/" +
+          std::to_string(checker_.replica_reads) + "/" +
+          std::to_string(platform_.calls);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace plantaintiller::model
--- /dev/null
+++ b/plantaintiller/model/world.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "plantaintiller/model/event_queue.h"
+#include "plantaintiller/model/fake_platform.h"
+#include "plantaintiller/model/fake_server.h"
+#include "plantaintiller/model/history_checker.h"
+#include "plantaintiller/model/model_instance.h"
+#include "plantaintiller/model/model_session.h"
+#include "plantaintiller/model/network.h"
+#include "plantaintiller/model/world_settings.h"
+
+namespace plantaintiller::model {
+
+/// One run: a deployment, its callers, and a seeded schedule of faults, all in
+/// virtual time. The same settings and seed give the same run.
+class world {
+ public:
+  world(const world_settings& settings, std::uint64_t seed);
+  ~world();
+
+  /// Runs from start to end.
+  void Run();
+
+  /// @name For experiments that drive a run step by step
+  /// @{
+  void StartProcesses();
+  void StartSessions(core::time_point end);
+  void RunFor(core::duration span);
+  event_queue& Queue() { return queue_; }
+  network& Net() { return net_; }
+  fake_platform& Platform() { return platform_; }
+  fake_server& Server(core::backend_server_id id) { return *servers_.at(id); }
+  model_instance& Instance(std::size_t number) { return *instances_[number]; }
+  std::size_t Instances() const { return instances_.size(); }
+  void KillServer(core::backend_server_id id);
+  void RestartServer(core::backend_server_id id);
+  void KillInstance(std::size_t number);
+  void RestartInstance(std::size_t number);
+  /// @}
+
+  const history_checker& Checker() const { return checker_; }
+  const session_counts& Counts() const { return counts_; }
+  /// Faults that were injected, in order.
+  const std::vector<std::string>& FaultLog() const { return fault_log_; }
+  /// Hash of everything observable about the run.
+  std::uint64_t Digest() const;
+
+ private:
+  core::configuration MakeConfiguration() const;
+  void MakeServers();
+  void MakeInstances();
+  void MakeSessions(std::uint64_t seed);
+  void ScheduleFault();
+  void InjectFault();
+  void FaultInstance();
+  void FaultServer();
+  void FaultNetwork();
+  void FaultPlatform();
+  void FaultConfiguration();
+  void CutZones();
+  void CutNodes();
+  void HealEverything();
+  void CheckService();
+  core::backend_server_id RandomServer();
+  core::duration RandomSpan(core::milliseconds least, core::milliseconds most);
+  void Log(std::string text);
+  bool Chance(double probability);
+
+  world_settings settings_;
+  std::mt19937_64 random_;
+  event_queue queue_;
+  network net_;
+  history_checker checker_;
+  fake_platform platform_;
+  std::map<core::backend_server_id, std::unique_ptr<fake_server>> servers_;
+  std::vector<std::unique_ptr<model_instance>> instances_;
+  std::vector<std::unique_ptr<model_session>> sessions_;
+  session_counts counts_;
+  request_number last_request_ = 0;
+  core::time_point faults_end_;
+  std::vector<std::string> fault_log_;
+};
+
+}  // namespace plantaintiller::model
--- /dev/null
+++ b/tests/model/planted_faults_test.cpp
@@ -0,0 +1,126 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <initializer_list>
+
+#include "tests/model/seed_runner.h"
+
+// Each promise's check has been seen to fail: a fault planted in the decisions
+// must be found by the checker, under the name of the promise that it breaks.
+namespace plantaintiller::model {
+
+namespace {
+
+using decisions::planted_faults;
+using fault_switch = bool planted_faults::*;
+
+constexpr std::uint64_t kSeeds = 400;
+constexpr std::uint64_t kBatch = 40;
+
+bool Breaks(const world& run, promise expected) {
+  return std::ranges::any_of(
+      run.Checker().Violations(),
+      [expected](const violation& each) { return each.broken == expected; });
+}
+
+// Runs batches of seeds until the promise is seen broken.
+bool IsFound(std::initializer_list<fault_switch> faults, promise expected) {
+  world_settings settings = SmallSettings();
+  for (const fault_switch each : faults) {
+    settings.decider.faults.*each = true;
+  }
+  bool found = false;
+  for (std::uint64_t first = 1; first <= kSeeds && !found; first += kBatch) {
+    RunSeeds(settings, first, kBatch, [&](std::uint64_t, const world& run) {
+      found = found || Breaks(run, expected);
+    });
+  }
+  return found;
+}
+
+}  // namespace
+
+TEST_CASE("planted: acknowledge before confirmation") {
+  CHECK(IsFound({&planted_faults::acknowledge_at_once},
+                promise::kNoAcknowledgedWriteLost));
+}
+
+TEST_CASE("planted: grow the set without raising the term") {
+  CHECK(IsFound({&planted_faults::grow_without_term},
+                promise::kNoAcknowledgedWriteLost));
+}
+
+TEST_CASE("planted: raise the term, add to both sets only later") {
+  CHECK(IsFound({&planted_faults::grow_one_set_later},
+                promise::kNoAcknowledgedWriteLost));
+}
+
+// A position check that errs is caught by the age check behind it, so that one
+// is switched off as well.
+TEST_CASE("planted: compare positions by the adopted term") {
+  CHECK(IsFound({&planted_faults::compare_adopted_term,
+                 &planted_faults::trust_replica_age},
+                promise::kReadYourWrites));
+}
+
+TEST_CASE("planted: compare positions by offset alone") {
+  // Servers of another term refuse reads, which leaves one log to compare
+  // offsets in; with that check off too, the order of positions must hold
+  // alone.
+  CHECK_FALSE(IsFound(
+      {&planted_faults::read_any_term, &planted_faults::trust_replica_age},
+      promise::kReadYourWrites));
+  CHECK(IsFound(
+      {&planted_faults::compare_offset_only, &planted_faults::read_any_term,
+       &planted_faults::trust_replica_age},
+      promise::kReadYourWrites));
+}
+
+TEST_CASE("planted: say not run without a tombstone") {
+  CHECK(IsFound({&planted_faults::not_run_without_tombstone},
+                promise::kTrueNotRun));
+}
+
+TEST_CASE("planted: count a tombstone before it is confirmed") {
+  CHECK(IsFound({&planted_faults::unconfirmed_tombstone},
+                promise::kNoAcknowledgedWriteLost));
+}
+
+TEST_CASE("planted: reuse a connection with an answer outstanding") {
+  CHECK(IsFound({&planted_faults::reuse_busy_connection},
+                promise::kNoMixedTransactions));
+}
+
+TEST_CASE("planted: accept an older configuration") {
+  CHECK(IsFound({&planted_faults::accept_older_configuration},
+                promise::kConfigurationOnlyRises));
+}
+
+TEST_CASE("planted: trust a replica's data to be current") {
+  CHECK(IsFound({&planted_faults::trust_replica_age}, promise::kStatedAge));
+}
+
+TEST_CASE("planted: leave out the request key") {
+  CHECK(IsFound({&planted_faults::write_without_key}, promise::kAtMostOnce));
+}
+
+TEST_CASE("planted: ignore the term") {
+  CHECK(IsFound({&planted_faults::ignore_term},
+                promise::kNoSupersededAcknowledgement));
+}
+
+TEST_CASE("planted: keep using a leaving server") {
+  CHECK(IsFound({&planted_faults::use_leaving_server},
+                promise::kLeavingServerRests));
+}
+
+TEST_CASE("planted: drop requests on shutdown") {
+  CHECK(
+      IsFound({&planted_faults::drop_on_shutdown}, promise::kGracefulShutdown));
+}
+
+TEST_CASE("planted: answer the request that waits longest") {
+  CHECK(IsFound({&planted_faults::answer_oldest}, promise::kOwnWholeAnswer));
+}
+
+}  // namespace plantaintiller::model
