--- a/plantaintiller/core/configuration.h
+++ b/plantaintiller/core/configuration.h
@@ -32,6 +32,9 @@
   /// Staleness allowed for reads that do not state one.
   milliseconds default_max_staleness{0};
   std::vector<backend_server_settings> servers;
+
+  /// Number of backend servers.
+  slot_number Slots() const { return static_cast<slot_number>(servers.size()); }
 };
 
 /// Configuration in force. Versions only rise.
--- a/plantaintiller/decisions/confirmation_tracker.h
+++ b/plantaintiller/decisions/confirmation_tracker.h
@@ -42,9 +42,9 @@
   /// before `since`.
   bool ProvesFreshness(std::uint64_t offset, core::time_point since) const;
 
-  /// Whether data at `offset` is proved to lack something the primary held
-  /// at or after `since`, so that waiting cannot prove it fresh.
-  bool RefutesFreshness(std::uint64_t offset, core::time_point since) const;
+  /// Offset that suffices to prove freshness: what the primary held at its
+  /// first report at or after `since`. @return nothing before there is one.
+  std::optional<std::uint64_t> FreshOffset(core::time_point since) const;
 
   /// Last offset reported by a server in the current term.
   std::optional<std::uint64_t> OffsetOf(core::slot_number slot) const;
--- a/plantaintiller/decisions/faults.h
+++ b/plantaintiller/decisions/faults.h
@@ -31,6 +31,8 @@
   bool ignore_term = false;
   /// Reads at servers of any term, confirmed or not.
   bool read_any_term = false;
+  /// Does not compare positions with the session's token at all.
+  bool ignore_token = false;
   /// Keeps sending new work to a leaving server.
   bool use_leaving_server = false;
   /// Drops requests in flight when shutting down.
--- a/plantaintiller/decisions/group_keeper.h
+++ b/plantaintiller/decisions/group_keeper.h
@@ -88,8 +88,9 @@
     core::time_point last_order;
     // Since when the member has been close behind the primary.
     std::optional<core::time_point> close_since;
-    // Since when the member has held up a needed confirmation.
+    // Since when the member has held up the confirmation of an offset.
     std::optional<core::time_point> behind_since;
+    std::uint64_t awaited_offset = 0;
   };
 
   void Adopt(const core::group_record& record);
--- a/plantaintiller/decisions/request_router.h
+++ b/plantaintiller/decisions/request_router.h
@@ -30,6 +30,8 @@
   /// Part of the deadline, in percent, after which a write of unknown outcome
   /// is no longer repeated but cancelled by a tombstone.
   int repeat_percent = 70;
+  /// Whether replicas answer reads at all.
+  bool use_replicas = true;
   /// Chance below which a replica is not tried, but for a few explorations.
   double least_chance = 0.6;
   /// Share of reads that try a replica of low chance all the same.
@@ -85,6 +87,8 @@
     bool may_have_run = false;
     bool avoid_replicas = false;
     bool at_replica = false;
+    // Replicas that could not answer.
+    core::server_set tried;
     int tries = 0;
     core::slot_number slot = 0;
     core::instance_id executor;
--- a/plantaintiller/decisions/statement_executor.h
+++ b/plantaintiller/decisions/statement_executor.h
@@ -27,6 +27,8 @@
   /// Part of a server's connections, in percent, that open transactions may
   /// hold, so that single statements always find one.
   int transaction_percent = 50;
+  /// Longest time that a read waits for its replica to catch up.
+  core::milliseconds catch_up{60};
   /// Most open transactions.
   std::size_t transactions = 1024;
 };
@@ -93,6 +95,8 @@
   bool HasWaiting(core::database_id database) const;
   /// Highest offset that answers of this database wait for.
   std::uint64_t NeededOffset(core::database_id database) const;
+  /// Offset that reads of this server wait for it to reach; 0 if none does.
+  std::uint64_t CatchUpOffset(core::backend_server_id server) const;
   /// Latest time that some answer needs reports to be sent after.
   core::time_point NeededFreshness(core::database_id database) const;
 
@@ -100,13 +104,23 @@
   std::size_t Unfinished() const;
 
  private:
-  enum class work_state : std::uint8_t { kQueued, kRunning, kWaiting };
+  enum class work_state : std::uint8_t {
+    kQueued,
+    kRunning,
+    /// Has run; its answer waits for reports.
+    kWaiting,
+    /// A read that has to run later, when its replica has caught up.
+    kCatchingUp,
+  };
   struct work_item {
     work_origin origin;
     core::statement work;
     core::slot_number slot = 0;
     work_state state = work_state::kQueued;
     bool pooled = false;
+    // Offset that the replica must reach, and until when it may take.
+    std::uint64_t needed_offset = 0;
+    core::time_point catch_up_until;
     std::uint32_t connection = 0;
     attempt_kind kind = attempt_kind::kRead;
     core::term_number term = 0;
@@ -179,6 +193,19 @@
                        core::time_point now);
   void CloseTransaction(std::uint64_t number, bool clean, core::time_point now);
   core::statement_outcome Describe(const work_item& item) const;
+  bool ReleaseRead(std::uint64_t handle,
+                   work_item& item,
+                   group_keeper& keeper,
+                   core::time_point now);
+  bool CatchUp(std::uint64_t handle,
+               work_item& item,
+               group_keeper& keeper,
+               std::uint64_t offset,
+               core::time_point now);
+  bool TryCatchUp(std::uint64_t handle,
+                  work_item& item,
+                  group_keeper& keeper,
+                  core::time_point now);
   bool Covers(const work_item& item) const;
   core::refusal_type UncoveredReason(const work_item& item,
                                      bool at_primary) const;
--- a/plantaintiller/http/client.cpp
+++ b/plantaintiller/http/client.cpp
@@ -100,7 +100,7 @@
             return;
           }
           response answer;
-          answer.status = self->parser_->get().result_int();
+          answer.status = static_cast<int>(self->parser_->get().result_int());
           answer.body = std::move(self->parser_->get().body());
           answer.close = !self->parser_->get().keep_alive();
           self->Finish(exchange_status::kAnswered, std::move(answer));
--- a/plantaintiller/instances/peer_loop.cpp
+++ b/plantaintiller/instances/peer_loop.cpp
@@ -101,7 +101,7 @@
 
 }  // namespace
 
-class peer_loop::implementation : private kj::TaskSet::ErrorHandler {
+class peer_loop::implementation final : private kj::TaskSet::ErrorHandler {
  public:
   implementation(const peer_settings& settings,
                  core::channel<command>& commands,
--- a/plantaintiller/model/fake_platform.cpp
+++ b/plantaintiller/model/fake_platform.cpp
@@ -21,7 +21,7 @@
 
 void fake_platform::Call(node_id from,
                          std::function<std::function<void()>()> effect,
-                         std::function<void(bool sent)> failed) {
+                         const std::function<void(bool sent)>& failed) {
   // The client's timeout covers what is lost, slow or cut off.
   const auto settled = std::make_shared<bool>(false);
   const auto sent = std::make_shared<bool>(false);
--- a/plantaintiller/model/fake_platform.h
+++ b/plantaintiller/model/fake_platform.h
@@ -66,7 +66,7 @@
   // Runs a call at the platform and its answer at the instance.
   void Call(node_id from,
             std::function<std::function<void()>()> effect,
-            std::function<void(bool sent)> failed);
+            const std::function<void(bool sent)>& failed);
 
   event_queue& queue_;
   network& net_;
--- a/plantaintiller/model/fake_server.cpp
+++ b/plantaintiller/model/fake_server.cpp
@@ -280,7 +280,7 @@
 
 void fake_server::OnFetch(core::slot_number follower,
                           core::term_number term,
-                          standin::replica_log<model_entry> theirs) {
+                          const standin::replica_log<model_entry>& theirs) {
   const core::server_state state = log_.State();
   if (state.adopted_term != term || !state.is_primary) {
     return;
--- a/plantaintiller/model/fake_server.h
+++ b/plantaintiller/model/fake_server.h
@@ -112,7 +112,7 @@
   void Fetch();
   void OnFetch(core::slot_number follower,
                core::term_number term,
-               standin::replica_log<model_entry> theirs);
+               const standin::replica_log<model_entry>& theirs);
   void SendEntries(const fetch_waiter& to);
   void OnAgreed(core::term_number term,
                 std::size_t common,
--- a/plantaintiller/model/history_checker.h
+++ b/plantaintiller/model/history_checker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -95,6 +96,11 @@
   /// Reads answered, in all and by replicas.
   std::uint64_t reads = 0;
   std::uint64_t replica_reads = 0;
+  /// Reads that some replica could have answered, given perfect knowledge.
+  std::uint64_t replica_could = 0;
+  /// Asked whether some replica of a database holds all of the given writes.
+  std::function<bool(core::database_id, const std::vector<request_number>&)>
+      replica_holds;
 
  private:
   struct database_history {
@@ -105,6 +111,13 @@
     std::vector<request_number> writes;
   };
 
+  void CheckAge(const std::string& who,
+                const std::vector<request_number>& seen,
+                const core::statement& work,
+                core::time_point now);
+  void CountOptimum(const session_view& view,
+                    const core::statement& work,
+                    const core::statement_outcome& outcome);
   void CheckLog(database_history& database, core::time_point now);
 
   const decisions::planted_faults& faults_;
--- a/plantaintiller/model/model_instance.h
+++ b/plantaintiller/model/model_instance.h
@@ -27,6 +27,9 @@
   std::function<model_instance&(core::instance_id)> instance;
   /// Time to open a connection to a backend server.
   core::duration connect_time;
+  /// Told of each decision that gets a log line; may be empty.
+  const std::function<void(core::instance_id, const decisions::decision_note&)>&
+      observe;
 };
 
 /// An entry instance of the model: the decisions that `serve` runs, with their
--- a/plantaintiller/model/world.h
+++ b/plantaintiller/model/world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -37,12 +38,33 @@
   network& Net() { return net_; }
   fake_platform& Platform() { return platform_; }
   fake_server& Server(core::backend_server_id id) { return *servers_.at(id); }
+  bool HasServer(core::backend_server_id id) const {
+    return servers_.contains(id);
+  }
+  /// Cuts a process off from all others, both ways.
+  void CutOff(node_id node);
   model_instance& Instance(std::size_t number) { return *instances_[number]; }
   std::size_t Instances() const { return instances_.size(); }
   void KillServer(core::backend_server_id id);
   void RestartServer(core::backend_server_id id);
   void KillInstance(std::size_t number);
   void RestartInstance(std::size_t number);
+  /// Sets who is told of each decision that gets a log line.
+  void Observe(std::function<void(core::instance_id,
+                                  const decisions::decision_note&)> observer) {
+    observer_ = std::move(observer);
+  }
+  /// Gives a request of no session to an instance.
+  void Ask(std::size_t instance,
+           core::statement work,
+           model_instance::answer done);
+  /// A write of its own for a database.
+  core::statement MakeWrite(core::database_id database,
+                            core::milliseconds deadline);
+  /// A read that allows some staleness.
+  core::statement MakeRead(core::database_id database,
+                           core::milliseconds max_staleness,
+                           core::milliseconds deadline);
   /// @}
 
   const history_checker& Checker() const { return checker_; }
@@ -53,6 +75,8 @@
   std::uint64_t Digest() const;
 
  private:
+  bool ReplicaHolds(core::database_id database,
+                    const std::vector<request_number>& needed) const;
   core::configuration MakeConfiguration() const;
   void MakeServers();
   void MakeInstances();
@@ -86,6 +110,8 @@
   request_number last_request_ = 0;
   core::time_point faults_end_;
   std::vector<std::string> fault_log_;
+  std::function<void(core::instance_id, const decisions::decision_note&)>
+      observer_;
 };
 
 }  // namespace plantaintiller::model
--- a/plantaintiller/model/world_settings.h
+++ b/plantaintiller/model/world_settings.h
@@ -39,6 +39,8 @@
   int slots = 2;
   int connections = 16;
   latency_settings latencies;
+  /// Chance that a message takes up to 800 ms longer.
+  double late_chance = 0.0;
   core::duration connect_time = std::chrono::milliseconds(12);
   /// Delay of replication.
   core::duration replica_lag = std::chrono::milliseconds(2);
--- a/plantaintiller/standin/sql_engine.cpp
+++ b/plantaintiller/standin/sql_engine.cpp
@@ -154,6 +154,7 @@
   const statement_handle prepared = implementation_->Prepare(sql);
   const int count =
       prepared == nullptr ? 0 : sqlite3_column_count(prepared.get());
+  columns.reserve(static_cast<std::size_t>(count));
   for (int column = 0; column < count; ++column) {
     columns.emplace_back(sqlite3_column_name(prepared.get(), column));
   }
