--- a/plantaintiller/cli/program.cpp
+++ b/plantaintiller/cli/program.cpp
@@ -10,6 +10,7 @@
 #include "plantaintiller/cli/operator_commands.h"
 #include "plantaintiller/cli/serve_command.h"
 #include "plantaintiller/cli/standin_commands.h"
+#include "plantaintiller/cli/standin_fault_command.h"
 
 namespace plantaintiller::cli {
 
@@ -28,6 +29,7 @@
       "drain", "Starts an instance's graceful shutdown.", "POST", "/v1/drain"));
   commands_.push_back(std::make_unique<standin_backend_command>());
   commands_.push_back(std::make_unique<standin_platform_command>());
+  commands_.push_back(std::make_unique<standin_fault_command>());
 }
 
 command* program::Find(const std::vector<std::string>& arguments,
--- a/plantaintiller/standin/backend_session.cpp
+++ b/plantaintiller/standin/backend_session.cpp
@@ -72,6 +72,11 @@
       });
 }
 
+void backend_session::GoSilent() {
+  silent_ = true;
+  service_.Node().Rollback(this);
+}
+
 void backend_session::Resume() {
   if (current_.has_value()) {
     Process();
--- a/plantaintiller/standin/backend_session.h
+++ b/plantaintiller/standin/backend_session.h
@@ -25,8 +25,9 @@
   void Start();
   /// Goes on with what waited for another transaction or for the log.
   void Resume();
-  /// From now on neither reads nor answers, with the socket left open.
-  void GoSilent() { silent_ = true; }
+  /// From now on answers nothing, with the socket left open; what was open on
+  /// the connection is rolled back.
+  void GoSilent();
   bool IsControl() const { return control_; }
 
  private:
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -46,11 +46,12 @@
     def __init__(self, name, arguments, log_folder):
         self.name = name
         self.log_path = pathlib.Path(log_folder) / f"{name}.log"
-        log = open(self.log_path, "wb")
         environment = {k: v for k, v in os.environ.items()
                        if not k.startswith("PLANTAINTILLER_")}
-        self.popen = subprocess.Popen([str(BINARY), *arguments], stdout=log,
-                                      stderr=subprocess.STDOUT, env=environment)
+        with open(self.log_path, "wb") as log:
+            self.popen = subprocess.Popen([str(BINARY), *arguments], stdout=log,
+                                          stderr=subprocess.STDOUT,
+                                          env=environment)
 
     def send(self, number):
         self.popen.send_signal(number)
