--- a/plantaintiller/decisions/connection_placement.cpp
+++ b/plantaintiller/decisions/connection_placement.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <compare>
 #include <cstdint>
+#include <utility>
 
 namespace plantaintiller::decisions {
 
@@ -16,30 +18,47 @@
   return XXH3_64bits(words.data(), sizeof(words));
 }
 
+/// Orders by weight, then by id, so that all instances agree.
+struct weighted_holder {
+  std::uint64_t weight = 0;
+  core::instance_id holder;
+  friend auto operator<=>(const weighted_holder&,
+                          const weighted_holder&) = default;
+};
+
 }  // namespace
 
 std::vector<core::instance_id> connection_placement::Holders(
     core::backend_server_id server,
     core::zone_id zone,
     const std::vector<placement_candidate>& candidates) {
-  std::vector<core::instance_id> holders;
+  const auto in_zone = [zone](const placement_candidate& each) {
+    return each.zone == zone;
+  };
+  const bool zone_has_any = std::ranges::any_of(candidates, in_zone);
+  // Only the best few are kept, in one pass: there may be thousands.
+  std::array<weighted_holder, kHolders> best{};
+  std::size_t found = 0;
   for (const placement_candidate& each : candidates) {
-    if (each.zone == zone) {
-      holders.push_back(each.id);
+    if (zone_has_any && !in_zone(each)) {
+      continue;
     }
-  }
-  if (holders.empty()) {
-    for (const placement_candidate& each : candidates) {
-      holders.push_back(each.id);
+    weighted_holder next{Weight(server, each.id), each.id};
+    for (std::size_t rank = 0; rank < found; ++rank) {
+      if (next > best[rank]) {
+        std::swap(next, best[rank]);
+      }
     }
+    if (found < kHolders) {
+      best[found] = next;
+      found += 1;
+    }
+  }
+  std::vector<core::instance_id> holders;
+  holders.reserve(found);
+  for (std::size_t rank = 0; rank < found; ++rank) {
+    holders.push_back(best[rank].holder);
   }
-  std::ranges::sort(holders,
-                    [server](core::instance_id a, core::instance_id b) {
-                      const std::uint64_t weight_a = Weight(server, a);
-                      const std::uint64_t weight_b = Weight(server, b);
-                      return weight_a != weight_b ? weight_a > weight_b : a < b;
-                    });
-  holders.resize(std::min(holders.size(), kHolders));
   return holders;
 }
 
--- a/plantaintiller/decisions/instance_decider.cpp
+++ b/plantaintiller/decisions/instance_decider.cpp
@@ -237,7 +237,9 @@
   if (membership_.OnTick(now)) {
     OnMembersChanged(now);
   }
-  if (now >= next_placement_) {
+  // Placement follows from the configuration and the live instances; only a
+  // server that is leaving changes it by the passing of time.
+  if (!leaving_since_.empty() && now >= next_placement_) {
     PlaceConnections(now);
   }
   if (now >= next_heartbeat_) {
--- a/plantaintiller/decisions/membership.cpp
+++ b/plantaintiller/decisions/membership.cpp
@@ -46,7 +46,8 @@
 }
 
 bool membership::OnTick(core::time_point now) {
-  std::vector<placement_candidate> candidates;
+  std::vector<placement_candidate>& candidates = next_candidates_;
+  candidates.clear();
   if (!leaving_) {
     candidates.push_back({self_, zone_});
   }
@@ -66,7 +67,7 @@
   const bool changed = candidates.size() != candidates_.size() ||
                        !std::equal(candidates.begin(), candidates.end(),
                                    candidates_.begin(), same);
-  candidates_ = std::move(candidates);
+  candidates_.swap(candidates);
   return changed;
 }
 
--- a/plantaintiller/decisions/membership.h
+++ b/plantaintiller/decisions/membership.h
@@ -68,6 +68,8 @@
   bool leaving_ = false;
   std::map<core::instance_id, peer> peers_;
   std::vector<placement_candidate> candidates_;
+  // Kept between ticks for its memory.
+  std::vector<placement_candidate> next_candidates_;
 };
 
 }  // namespace plantaintiller::decisions
--- a/plantaintiller/serve/entry_instance.cpp
+++ b/plantaintiller/serve/entry_instance.cpp
@@ -1,6 +1,7 @@
 #include "plantaintiller/serve/entry_instance.h"
 
 #include <glog/logging.h>
+#include <sys/resource.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,15 @@
 
 constexpr int kExitCannotListen = 1;
 
+// Each caller's connection takes a file descriptor.
+void RaiseFileLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 http::server_settings ServerSettings(const std::string& host,
                                      std::uint16_t port) {
   http::server_settings settings;
@@ -63,6 +73,7 @@
         }) {}
 
   int Run() {
+    RaiseFileLimit();
     ConnectRings();
     if (!Listen()) {
       return kExitCannotListen;
--- /dev/null
+++ b/tests/callers/statement_codec_test.cpp
@@ -0,0 +1,123 @@
+#include "plantaintiller/callers/statement_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace plantaintiller::callers {
+
+namespace {
+
+using core::refusal_type;
+
+core::configuration Configuration() {
+  core::configuration made;
+  made.deployment = "swanlodge";
+  core::database_settings database;
+  database.id = {1};
+  database.name = "bookings";
+  made.databases.push_back(database);
+  return made;
+}
+
+// Why a body is refused, and the field named; kNone if it is not.
+std::pair<refusal_type, std::string> ProblemOf(const std::string& body) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::pair<refusal_type, std::string>> {
+        BOOST_LEAF_CHECK(ParseRequest(body, core::statement_kind::kRun,
+                                      Configuration(), "g-1",
+                                      core::time_point()));
+        return std::pair(refusal_type::kNone, std::string());
+      },
+      [](const request_problem& problem) {
+        return std::pair(problem.type, problem.field);
+      },
+      [] { return std::pair(refusal_type::kNotReady, std::string()); });
+}
+
+std::string Body(const std::string& more) {
+  return R"({"database":"bookings","access":"read","sql":"SELECT 1")" + more +
+         "}";
+}
+
+}  // namespace
+
+TEST_CASE("statement_codec: good bodies are taken") {
+  CHECK(ProblemOf(Body("")).first == refusal_type::kNone);
+  CHECK(ProblemOf(Body(R"(,"params":[1,"a",null,true,2.5])")).first ==
+        refusal_type::kNone);
+  CHECK(ProblemOf(Body(R"(,"deadline_ms":0)")).first == refusal_type::kNone);
+}
+
+TEST_CASE("statement_codec: bad bodies are refused by field") {
+  const auto bad = refusal_type::kBadRequest;
+  CHECK(ProblemOf("") == std::pair(bad, std::string("body")));
+  CHECK(ProblemOf(R"({"database":"bookings")") ==
+        std::pair(bad, std::string("body")));
+  CHECK(ProblemOf("[1]") == std::pair(bad, std::string("body")));
+  CHECK(ProblemOf(Body(R"(,"sql2":"x")")) ==
+        std::pair(bad, std::string("sql2")));
+  CHECK(ProblemOf(Body(R"(,"deadline_ms":31536000000)")) ==
+        std::pair(bad, std::string("deadline_ms")));
+  CHECK(ProblemOf(Body(R"(,"deadline_ms":-1)")) ==
+        std::pair(bad, std::string("deadline_ms")));
+  CHECK(ProblemOf(Body(R"(,"deadline_ms":"soon")")) ==
+        std::pair(bad, std::string("deadline_ms")));
+  CHECK(ProblemOf(Body(R"(,"max_staleness_ms":1.5)")) ==
+        std::pair(bad, std::string("max_staleness_ms")));
+  CHECK(ProblemOf(Body(R"(,"params":{})")) ==
+        std::pair(bad, std::string("params")));
+  CHECK(ProblemOf(Body(R"(,"params":[[1]])")) ==
+        std::pair(bad, std::string("params")));
+  CHECK(ProblemOf(Body(R"(,"params":["a\u0000b"])")) ==
+        std::pair(bad, std::string("sql")));
+  CHECK(ProblemOf(Body(R"(,"request_id":")" + std::string(129, 'x') + "\"")) ==
+        std::pair(bad, std::string("request_id")));
+  CHECK(ProblemOf(Body(R"(,"class":"urgent")")) ==
+        std::pair(bad, std::string("class")));
+  CHECK(ProblemOf(R"({"database":"bookings","sql":"SELECT 1"})") ==
+        std::pair(bad, std::string("access")));
+}
+
+TEST_CASE("statement_codec: unknown databases and bad tokens have types") {
+  CHECK(
+      ProblemOf(R"({"database":"x","access":"read","sql":"SELECT 1"})").first ==
+      refusal_type::kUnknownDatabase);
+  CHECK(ProblemOf(Body(R"(,"session_token":"pt1.00")")).first ==
+        refusal_type::kTokenDamaged);
+  const std::string foreign = core::session_token().Encode("agency");
+  CHECK(ProblemOf(Body(",\"session_token\":\"" + foreign + "\"")).first ==
+        refusal_type::kTokenForeign);
+}
+
+TEST_CASE("statement_codec: transaction names") {
+  const core::transaction_id transaction{{3}, 99};
+  const auto read = ParseTransactionName(TransactionName(transaction));
+  REQUIRE(read.has_value());
+  CHECK(*read == transaction);
+  for (const char* bad : {"", "3", "3-", "-9", "3-x", "3-0", "3-9-9"}) {
+    const bool refused = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+          BOOST_LEAF_CHECK(ParseTransactionName(bad));
+          return false;
+        },
+        [] { return true; });
+    CHECK(refused);
+  }
+}
+
+TEST_CASE("statement_codec: the same content has the same fingerprint") {
+  const auto read = [](const std::string& body) {
+    return ParseRequest(body, core::statement_kind::kRun, Configuration(),
+                        "g-1", core::time_point())
+        .value()
+        .work.fingerprint;
+  };
+  CHECK(read(Body(R"(,"params":["a"])")) == read(Body(R"(,"params":["a"])")));
+  CHECK(read(Body(R"(,"params":["a"])")) != read(Body(R"(,"params":["b"])")));
+  CHECK(read(Body(R"(,"params":["a","b"])")) !=
+        read(Body(R"(,"params":["ab"])")));
+  CHECK(read(Body(R"(,"params":[null])")) != read(Body(R"(,"params":[""])")));
+}
+
+}  // namespace plantaintiller::callers
--- /dev/null
+++ b/tests/config/configuration_codec_test.cpp
@@ -0,0 +1,63 @@
+#include "plantaintiller/config/configuration_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace plantaintiller::config {
+
+namespace {
+
+constexpr const char* kGood = R"({
+  "version": 4, "deployment": "swanlodge",
+  "availability_zones": ["perth-north", "bunbury-a"],
+  "databases": [{"id": 1, "name": "allocations", "connections": 16,
+    "default_max_staleness_ms": 0, "backend_servers": [
+      {"availability_zone": "perth-north", "host": "127.0.0.1", "port": 1},
+      {"availability_zone": "bunbury-a", "host": "127.0.0.1", "port": 2,
+       "leaving": true}]}]})";
+
+// Field that a configuration is refused for; empty if it is taken.
+std::string RefusedFor(const std::string& text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> core::result<std::string> {
+        BOOST_LEAF_AUTO(json, ParseJson(text));
+        BOOST_LEAF_CHECK(ConfigurationFromJson(json));
+        return std::string();
+      },
+      [](const core::error& problem) { return problem.subject; },
+      [] { return std::string("?"); });
+}
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("configuration_codec: JSON round trip") {
+  const auto first = ConfigurationFromJson(ParseJson(kGood).value());
+  REQUIRE(first.has_value());
+  const auto second = ConfigurationFromJson(ToJson(*first));
+  REQUIRE(second.has_value());
+  CHECK(boost::json::serialize(ToJson(*first)) ==
+        boost::json::serialize(ToJson(*second)));
+  CHECK(second->databases[0].servers[1].leaving);
+}
+
+TEST_CASE("configuration_codec: what is wrong is named") {
+  CHECK(RefusedFor(kGood).empty());
+  CHECK(RefusedFor("{") == "body");
+  CHECK(RefusedFor(Replaced("\"connections\": 16", "\"connections\": 0")) ==
+        "connections");
+  CHECK(RefusedFor(Replaced("\"port\": 1}", "\"port\": 99999}")) == "port");
+  CHECK(RefusedFor(Replaced("zone\": \"perth-north\"",
+                            "zone\": \"atlantis\"")) == "availability_zone");
+  CHECK(RefusedFor(Replaced("\"id\": 1", "\"id\": -1")) == "id");
+  CHECK(RefusedFor(Replaced("\"deployment\": \"swanlodge\"",
+                            "\"deployment\": \"\"")) == "deployment");
+}
+
+}  // namespace plantaintiller::config
