--- a/plantaintiller/experiments/failover_experiment.cpp
+++ b/plantaintiller/experiments/failover_experiment.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds kWarmUp{3000};
 constexpr milliseconds kSteady{1000};
 constexpr milliseconds kWatch{20000};
+constexpr milliseconds kLook{100};
 constexpr milliseconds kWritePause{5};
 constexpr milliseconds kDeadline{15000};
 
@@ -130,7 +131,10 @@
   seen.failed = run.Queue().Now();
   Fail(run, failed, seen.primary);
   WatchAdoption(run, seen);
-  run.RunFor(kWatch);
+  const time_point end = run.Queue().Now() + kWatch;
+  while (!seen.first_after.has_value() && run.Queue().Now() < end) {
+    run.RunFor(kLook);
+  }
   failover_gap gap;
   gap.whole = Between(seen.last_before, seen.first_after);
   gap.detect = Between(seen.failed, seen.proposed);
--- a/plantaintiller/experiments/main.cpp
+++ b/plantaintiller/experiments/main.cpp
@@ -3,9 +3,12 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "plantaintiller/experiments/failover_experiment.h"
@@ -28,6 +31,24 @@
           {"agency", model::AgencySettings()}};
 }
 
+// Runs seeds 1 to `seeds` on all processors.
+void ForEachSeed(std::uint64_t seeds,
+                 const std::function<void(std::uint64_t)>& run) {
+  std::atomic<std::uint64_t> next{1};
+  std::vector<std::thread> threads;
+  for (unsigned n = 0; n < std::max(1U, std::thread::hardware_concurrency());
+       ++n) {
+    threads.emplace_back([&] {
+      for (std::uint64_t seed = next++; seed <= seeds; seed = next++) {
+        run(seed);
+      }
+    });
+  }
+  for (std::thread& each : threads) {
+    each.join();
+  }
+}
+
 milliseconds Median(std::vector<milliseconds> values) {
   std::ranges::sort(values);
   return values[values.size() / 2];
@@ -38,10 +59,10 @@
                    const model::world_settings& settings,
                    const failover_case& failed,
                    std::uint64_t seeds) {
-  std::vector<failover_gap> gaps;
-  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    gaps.push_back(MeasureFailover(settings, failed, seed));
-  }
+  std::vector<failover_gap> gaps(seeds);
+  ForEachSeed(seeds, [&](std::uint64_t seed) {
+    gaps[seed - 1] = MeasureFailover(settings, failed, seed);
+  });
   const auto part = [&gaps](milliseconds failover_gap::*which) {
     std::vector<milliseconds> values;
     for (const failover_gap& gap : gaps) {
@@ -94,9 +115,12 @@
                    const model::world_settings& settings,
                    const replica_case& replicas,
                    std::uint64_t seeds) {
+  std::vector<replica_share> runs(seeds);
+  ForEachSeed(seeds, [&](std::uint64_t seed) {
+    runs[seed - 1] = MeasureReplicaShare(settings, replicas, seed);
+  });
   replica_share total;
-  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const replica_share run = MeasureReplicaShare(settings, replicas, seed);
+  for (const replica_share& run : runs) {
     total.reads += run.reads;
     total.by_replicas += run.by_replicas;
     total.by_replicas_at_best += run.by_replicas_at_best;
