--- a/bench/path_load.cpp
+++ b/bench/path_load.cpp
@@ -1,6 +1,6 @@
 // Measures one path to a stand-in backend server under a number of concurrent
-// callers: plantaintiller_path_load direct|proxy|floor HOST PORT CALLERS SECONDS
-// Prints: path callers answers_per_s p50_us p99_us failures
+// callers: plantaintiller_path_load direct|proxy|floor HOST PORT CALLERS
+// SECONDS Prints: path callers answers_per_s p50_us p99_us failures
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -115,7 +115,7 @@
     const clock::time_point from = clock::now();
     client_.Send(
         {"POST", "/v1/statements",
-         R"({"database":"database-1","access":"read","sql":"SELECT 1",)"
+         R"({"database":"demo.database-1","access":"read","sql":"SELECT 1",)"
          R"("max_staleness_ms":60000})"},
         [this, from](http::exchange_status status,
                      const http::response& answer) {
--- /dev/null
+++ b/plantaintiller/cli/interview.cpp
@@ -0,0 +1,132 @@
+#include "plantaintiller/cli/interview.h"
+
+#include <charconv>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace plantaintiller::cli {
+
+namespace {
+
+std::vector<std::string> Words(const std::string& text) {
+  std::istringstream stream(text);
+  std::vector<std::string> words;
+  std::string word;
+  while (stream >> word) {
+    words.push_back(word);
+  }
+  return words;
+}
+
+// Digits give their number; anything else gives -1, which no question allows.
+std::int64_t NumberOf(const std::string& text) {
+  std::int64_t number = -1;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  return parsed.ec == std::errc() && parsed.ptr == end ? number : -1;
+}
+
+}  // namespace
+
+core::result<std::vector<std::string>> interview::AskAll(
+    const std::vector<question>& questions) {
+  std::vector<std::string> given(questions.size());
+  std::size_t now = 0;
+  while (now < questions.size()) {
+    const question& asked = questions[now];
+    out_ << asked.text << " [" << asked.fallback << "] " << std::flush;
+    std::string line;
+    if (!std::getline(in_, line)) {
+      return core::Fail(core::error_type::kUnavailable, asked.text,
+                        "the input ended");
+    }
+    if (line == "?") {
+      out_ << "  " << asked.explanation << "\n";
+    } else if (line == "<") {
+      now -= now > 0 ? 1 : 0;
+    } else {
+      given[now] = line.empty() ? asked.fallback : line;
+      now += 1;
+    }
+  }
+  return given;
+}
+
+core::result<std::int64_t> interview::AskNumber(const question& asked) {
+  while (true) {
+    BOOST_LEAF_AUTO(given, AskAll({asked}));
+    const std::int64_t number = NumberOf(given[0]);
+    if (number >= 0) {
+      return number;
+    }
+    out_ << "  a whole number, please\n";
+  }
+}
+
+core::result<config::database_answer> interview::AskDatabase(
+    const config::answers& given) {
+  BOOST_LEAF_AUTO(
+      texts,
+      AskAll({{"Which service does it belong to?",
+               "Databases are named SERVICE.NAME.", "core"},
+              {"What is the database called?", "One word.", "main"},
+              {"How many connections does each backend server accept?",
+               "All instances together stay below this.", "16"},
+              {"How old may reads be that do not say, in milliseconds?",
+               "0: current. Portals and availability views often allow some "
+               "seconds; replicas then carry them.",
+               "0"},
+              {"How many slots (backend servers) has it?",
+               "A primary and its replicas.", "2"}}));
+  config::database_answer database;
+  database.service = texts[0];
+  database.name = texts[1];
+  database.connections = static_cast<int>(NumberOf(texts[2]));
+  database.stale_reads_ms = NumberOf(texts[3]);
+  const std::int64_t slots = NumberOf(texts[4]);
+  for (std::int64_t slot = 0; slot < slots; ++slot) {
+    const std::string who = "Slot " + std::to_string(slot) + ": ";
+    const std::string zone =
+        given.zones[static_cast<std::size_t>(slot) % given.zones.size()];
+    BOOST_LEAF_AUTO(
+        place,
+        AskAll({{who + "availability zone?", "Spread them over zones.", zone},
+                {who + "IP address?", "Numeric.", "127.0.0.1"},
+                {who + "port?", "PostgreSQL's is 5432.", "5432"}}));
+    database.servers.push_back({place[0], place[1],
+                                static_cast<std::uint16_t>(NumberOf(place[2])),
+                                false});
+  }
+  return database;
+}
+
+core::result<config::answers> interview::Ask() {
+  config::answers given;
+  BOOST_LEAF_AUTO(
+      texts,
+      AskAll({{"What is the system called?",
+               "Session tokens of other systems are refused.", "swanlodge"},
+              {"Which availability zones are there?", "Names, with spaces.",
+               "zone-a zone-b"},
+              {"May any read be stale?",
+               "no: every read is current unless it asks otherwise.", "yes"}}));
+  given.deployment = texts[0];
+  given.zones = Words(texts[1]);
+  given.any_stale_reads = texts[2] == "yes";
+  if (given.zones.empty()) {
+    return core::Fail(core::error_type::kBadConfiguration, "availability_zones",
+                      "at least one is needed");
+  }
+  BOOST_LEAF_AUTO(databases, AskNumber({"How many databases are there?",
+                                        "Each has its own primary.", "1"}));
+  for (std::int64_t n = 0; n < databases; ++n) {
+    BOOST_LEAF_AUTO(database, AskDatabase(given));
+    given.databases.push_back(std::move(database));
+  }
+  // Checked by the same rules as an answers file.
+  return config::AnswersFromJson(config::ToJson(given));
+}
+
+}  // namespace plantaintiller::cli
--- a/plantaintiller/cli/program.cpp
+++ b/plantaintiller/cli/program.cpp
@@ -8,6 +8,7 @@
 
 #include "plantaintiller/cli/config_commands.h"
 #include "plantaintiller/cli/operator_commands.h"
+#include "plantaintiller/cli/questionnaire_command.h"
 #include "plantaintiller/cli/serve_command.h"
 #include "plantaintiller/cli/standin_commands.h"
 #include "plantaintiller/cli/standin_fault_command.h"
@@ -16,6 +17,7 @@
 
 program::program() {
   commands_.push_back(std::make_unique<serve_command>());
+  commands_.push_back(std::make_unique<questionnaire_command>());
   commands_.push_back(std::make_unique<config_publish_command>());
   commands_.push_back(std::make_unique<config_show_command>());
   commands_.push_back(std::make_unique<operator_command>(
--- /dev/null
+++ b/plantaintiller/cli/published_configuration.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "plantaintiller/cli/option_set.h"
+#include "plantaintiller/core/configuration.h"
+#include "plantaintiller/core/error.h"
+
+namespace plantaintiller::cli {
+
+/// Reads a whole file. @return kNotFound if it cannot be read.
+core::result<std::string> ReadFile(const std::string& path);
+
+/// Reads the published configuration; version 0 if there is none yet.
+core::result<core::configuration> ReadPublished(const address& platform);
+
+/// Publishes a configuration if `base_version` is still the newest.
+/// @return the new version, or kConflict that shows the other change.
+core::result<std::uint64_t> Publish(const address& platform,
+                                    const core::configuration& configuration,
+                                    std::uint64_t base_version);
+
+/// Prints an error for a person. @return the exit status.
+int PrintError(const core::error& problem);
+
+}  // namespace plantaintiller::cli
--- /dev/null
+++ b/plantaintiller/config/answers.cpp
@@ -0,0 +1,382 @@
+#include "plantaintiller/config/answers.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace plantaintiller::config {
+
+namespace {
+
+using boost::json::array;
+using boost::json::object;
+using boost::json::value;
+using core::error_type;
+
+constexpr std::int64_t kMostConnections = 10000;
+constexpr std::int64_t kOldestReadMs = 86400000;
+
+// Reads the answers to the questions of one JSON object.
+class question_reader {
+ public:
+  question_reader(const value& json, std::string about)
+      : fields_(json.if_object()), about_(std::move(about)) {}
+
+  core::result<std::string> Text(const char* question) const {
+    const value* found = Find(question);
+    if (found == nullptr || !found->is_string() ||
+        found->get_string().empty()) {
+      return Wrong(question, "expected a name");
+    }
+    return std::string(found->get_string());
+  }
+
+  core::result<std::int64_t> Number(const char* question,
+                                    std::int64_t least,
+                                    std::int64_t most) const {
+    const value* found = Find(question);
+    boost::json::error_code error;
+    const std::int64_t number =
+        found == nullptr ? least - 1 : found->to_number<std::int64_t>(error);
+    if (error || number < least || number > most) {
+      return Wrong(question, "expected a whole number from " +
+                                 std::to_string(least) + " to " +
+                                 std::to_string(most));
+    }
+    return number;
+  }
+
+  core::result<bool> Flag(const char* question, bool fallback) const {
+    const value* found = Find(question);
+    if (found == nullptr) {
+      return fallback;
+    }
+    if (!found->is_bool()) {
+      return Wrong(question, "expected true or false");
+    }
+    return found->get_bool();
+  }
+
+  core::result<const array*> List(const char* question) const {
+    const value* found = Find(question);
+    if (found == nullptr || !found->is_array() || found->get_array().empty()) {
+      return Wrong(question, "expected a list that is not empty");
+    }
+    return &found->get_array();
+  }
+
+ private:
+  const value* Find(const char* question) const {
+    return fields_ == nullptr ? nullptr : fields_->if_contains(question);
+  }
+  boost::leaf::error_id Wrong(const char* question, std::string detail) const {
+    return core::Fail(error_type::kBadConfiguration, about_ + question,
+                      std::move(detail));
+  }
+
+  const object* fields_;
+  std::string about_;
+};
+
+core::result<server_answer> ReadServer(const value& json,
+                                       const std::string& about) {
+  const question_reader questions(json, about);
+  server_answer server;
+  BOOST_LEAF_ASSIGN(server.zone, questions.Text("availability_zone"));
+  BOOST_LEAF_ASSIGN(server.host, questions.Text("host"));
+  BOOST_LEAF_AUTO(port, questions.Number("port", 1, UINT16_MAX));
+  server.port = static_cast<std::uint16_t>(port);
+  BOOST_LEAF_ASSIGN(server.leaving, questions.Flag("leaving", false));
+  return server;
+}
+
+core::result<database_answer> ReadDatabase(const value& json,
+                                           std::size_t number) {
+  const std::string about = "databases[" + std::to_string(number) + "].";
+  const question_reader questions(json, about);
+  database_answer database;
+  BOOST_LEAF_ASSIGN(database.service, questions.Text("service"));
+  BOOST_LEAF_ASSIGN(database.name, questions.Text("name"));
+  BOOST_LEAF_AUTO(connections,
+                  questions.Number("connections", 1, kMostConnections));
+  database.connections = static_cast<int>(connections);
+  BOOST_LEAF_ASSIGN(database.stale_reads_ms,
+                    questions.Number("stale_reads_ms", 0, kOldestReadMs));
+  BOOST_LEAF_AUTO(servers, questions.List("slots"));
+  for (std::size_t slot = 0; slot < servers->size(); ++slot) {
+    BOOST_LEAF_AUTO(server,
+                    ReadServer((*servers)[slot],
+                               about + "slots[" + std::to_string(slot) + "]."));
+    database.servers.push_back(std::move(server));
+  }
+  return database;
+}
+
+boost::leaf::error_id Contradiction(const std::string& one,
+                                    const std::string& other,
+                                    std::string detail) {
+  return core::Fail(error_type::kContradictoryAnswers, one + " and " + other,
+                    std::move(detail));
+}
+
+core::result<void> CheckDatabase(const answers& given,
+                                 std::size_t number,
+                                 std::set<std::string>& addresses) {
+  const database_answer& database = given.databases[number];
+  const std::string about = "databases[" + std::to_string(number) + "].";
+  if (database.stale_reads_ms > 0 && !given.any_stale_reads) {
+    return Contradiction("any_stale_reads", about + "stale_reads_ms",
+                         "no read may be stale, yet this database allows it");
+  }
+  if (database.servers.size() > core::kMaxSlots) {
+    return core::Fail(error_type::kBadConfiguration, about + "slots",
+                      "expected at most 8");
+  }
+  const bool all_leaving =
+      std::ranges::all_of(database.servers, &server_answer::leaving);
+  if (all_leaving) {
+    return Contradiction(about + "name", about + "slots",
+                         "every backend server of the database is leaving");
+  }
+  for (std::size_t slot = 0; slot < database.servers.size(); ++slot) {
+    const server_answer& server = database.servers[slot];
+    const std::string here = about + "slots[" + std::to_string(slot) + "].";
+    if (std::ranges::find(given.zones, server.zone) == given.zones.end()) {
+      return Contradiction("availability_zones", here + "availability_zone",
+                           "there is no availability zone " + server.zone);
+    }
+    const std::string address = server.host + ":" + std::to_string(server.port);
+    if (!addresses.insert(address).second) {
+      return Contradiction("databases", here + "port",
+                           "two backend servers share the address " + address);
+    }
+  }
+  return {};
+}
+
+core::result<void> CheckTogether(const answers& given) {
+  std::set<std::string> names;
+  std::set<std::string> addresses;
+  for (std::size_t number = 0; number < given.databases.size(); ++number) {
+    if (!names.insert(given.databases[number].name).second) {
+      return Contradiction(
+          "databases", "databases[" + std::to_string(number) + "].name",
+          "two databases are named " + given.databases[number].name);
+    }
+    BOOST_LEAF_CHECK(CheckDatabase(given, number, addresses));
+  }
+  return {};
+}
+
+std::string ServiceOf(const std::string& full_name) {
+  return full_name.substr(0, full_name.find('.'));
+}
+
+std::string NameOf(const std::string& full_name) {
+  const std::size_t dot = full_name.find('.');
+  return dot == std::string::npos ? full_name : full_name.substr(dot + 1);
+}
+
+void CompareServers(const core::configuration& from,
+                    const core::configuration& to,
+                    const core::database_settings& before,
+                    const core::database_settings& after,
+                    std::vector<std::string>& lines) {
+  const std::size_t most =
+      std::max(before.servers.size(), after.servers.size());
+  for (std::size_t slot = 0; slot < most; ++slot) {
+    const std::string who = after.name + " slot " + std::to_string(slot) + ": ";
+    if (slot >= before.servers.size()) {
+      lines.push_back(who + "added");
+      continue;
+    }
+    if (slot >= after.servers.size()) {
+      lines.push_back(who + "removed");
+      continue;
+    }
+    const core::backend_server_settings& old = before.servers[slot];
+    const core::backend_server_settings& now = after.servers[slot];
+    if (old.host != now.host || old.port != now.port) {
+      lines.push_back(who + "address " + old.host + ":" +
+                      std::to_string(old.port) + " -> " + now.host + ":" +
+                      std::to_string(now.port));
+    }
+    if (old.zone != now.zone) {
+      lines.push_back(who + "availability zone " + from.ZoneName(old.zone) +
+                      " -> " + to.ZoneName(now.zone));
+    }
+    if (old.leaving != now.leaving) {
+      lines.push_back(who + (now.leaving ? "leaving" : "no longer leaving"));
+    }
+  }
+}
+
+void CompareDatabase(const core::configuration& from,
+                     const core::configuration& to,
+                     const core::database_settings& before,
+                     const core::database_settings& after,
+                     std::vector<std::string>& lines) {
+  if (before.connections != after.connections) {
+    lines.push_back(after.name + ": connections " +
+                    std::to_string(before.connections) + " -> " +
+                    std::to_string(after.connections));
+  }
+  if (before.default_max_staleness != after.default_max_staleness) {
+    lines.push_back(
+        after.name + ": reads may be " +
+        std::to_string(before.default_max_staleness.count()) + " -> " +
+        std::to_string(after.default_max_staleness.count()) + " ms old");
+  }
+  CompareServers(from, to, before, after, lines);
+}
+
+}  // namespace
+
+core::result<answers> AnswersFromJson(const value& json) {
+  const question_reader questions(json, "");
+  answers given;
+  BOOST_LEAF_ASSIGN(given.deployment, questions.Text("deployment"));
+  BOOST_LEAF_ASSIGN(given.any_stale_reads,
+                    questions.Flag("any_stale_reads", true));
+  BOOST_LEAF_AUTO(zones, questions.List("availability_zones"));
+  for (const value& zone : *zones) {
+    if (!zone.is_string()) {
+      return core::Fail(error_type::kBadConfiguration, "availability_zones",
+                        "expected names");
+    }
+    given.zones.emplace_back(zone.get_string());
+  }
+  BOOST_LEAF_AUTO(databases, questions.List("databases"));
+  for (std::size_t number = 0; number < databases->size(); ++number) {
+    BOOST_LEAF_AUTO(database, ReadDatabase((*databases)[number], number));
+    given.databases.push_back(std::move(database));
+  }
+  BOOST_LEAF_CHECK(CheckTogether(given));
+  return given;
+}
+
+value ToJson(const answers& given) {
+  array zones;
+  for (const std::string& zone : given.zones) {
+    zones.emplace_back(zone);
+  }
+  array databases;
+  for (const database_answer& database : given.databases) {
+    array servers;
+    for (const server_answer& server : database.servers) {
+      servers.push_back(object{{"availability_zone", server.zone},
+                               {"host", server.host},
+                               {"port", server.port},
+                               {"leaving", server.leaving}});
+    }
+    databases.push_back(object{{"service", database.service},
+                               {"name", database.name},
+                               {"connections", database.connections},
+                               {"stale_reads_ms", database.stale_reads_ms},
+                               {"slots", std::move(servers)}});
+  }
+  return object{{"deployment", given.deployment},
+                {"availability_zones", std::move(zones)},
+                {"any_stale_reads", given.any_stale_reads},
+                {"databases", std::move(databases)}};
+}
+
+core::configuration Generate(const answers& given,
+                             const core::configuration& current) {
+  core::configuration made;
+  made.version = current.version;
+  made.deployment = given.deployment;
+  made.zones = given.zones;
+  std::uint32_t last_id = 0;
+  for (const core::database_settings& each : current.databases) {
+    last_id = std::max(last_id, each.id.value);
+  }
+  for (const database_answer& answer : given.databases) {
+    core::database_settings database;
+    // The service is part of the name, so that the answers can be read back.
+    database.name = answer.service + "." + answer.name;
+    const core::database_settings* known = current.FindByName(database.name);
+    database.id = known != nullptr ? known->id : core::database_id{++last_id};
+    database.connections = answer.connections;
+    database.default_max_staleness = core::milliseconds(answer.stale_reads_ms);
+    for (const server_answer& server : answer.servers) {
+      database.servers.push_back({core::ZoneIdOf(server.zone), server.host,
+                                  server.port, server.leaving});
+    }
+    made.databases.push_back(std::move(database));
+  }
+  return made;
+}
+
+answers AnswersFrom(const core::configuration& configuration) {
+  answers given;
+  given.deployment = configuration.deployment;
+  given.zones = configuration.zones;
+  given.any_stale_reads = false;
+  for (const core::database_settings& database : configuration.databases) {
+    database_answer answer;
+    answer.service = ServiceOf(database.name);
+    answer.name = NameOf(database.name);
+    answer.connections = database.connections;
+    answer.stale_reads_ms = database.default_max_staleness.count();
+    given.any_stale_reads = given.any_stale_reads || answer.stale_reads_ms > 0;
+    for (const core::backend_server_settings& server : database.servers) {
+      answer.servers.push_back({configuration.ZoneName(server.zone),
+                                server.host, server.port, server.leaving});
+    }
+    given.databases.push_back(std::move(answer));
+  }
+  return given;
+}
+
+std::vector<std::string> Differences(const core::configuration& from,
+                                     const core::configuration& to) {
+  std::vector<std::string> lines;
+  if (from.zones != to.zones) {
+    lines.emplace_back("availability zones change");
+  }
+  for (const core::database_settings& after : to.databases) {
+    const core::database_settings* before = from.FindByName(after.name);
+    if (before == nullptr) {
+      lines.push_back(after.name + ": new database");
+    } else {
+      CompareDatabase(from, to, *before, after, lines);
+    }
+  }
+  for (const core::database_settings& before : from.databases) {
+    if (to.FindByName(before.name) == nullptr) {
+      lines.push_back(before.name +
+                      ": removed; its callers get "
+                      "unknown_database");
+    }
+  }
+  return lines;
+}
+
+core::result<std::string> ExplainSetting(const std::string& setting) {
+  struct reason {
+    std::string_view setting;
+    std::string_view answer;
+  };
+  constexpr std::array<reason, 7> kReasons{{
+      {"deployment", "deployment: what the system is called; part of tokens"},
+      {"availability_zones", "availability_zones: the zones of your platform"},
+      {"name", "databases[].service and databases[].name, joined by a dot"},
+      {"connections",
+       "databases[].connections: what each backend server accepts in all"},
+      {"default_max_staleness_ms",
+       "databases[].stale_reads_ms: how old reads may be that do not say"},
+      {"backend_servers", "databases[].slots: one entry a slot"},
+      {"leaving", "databases[].slots[].leaving: the server gets no new work"},
+  }};
+  const auto* found =
+      std::ranges::find(kReasons, std::string_view(setting), &reason::setting);
+  if (found == kReasons.end()) {
+    return core::Fail(error_type::kNotFound, setting, "no such setting");
+  }
+  return std::string(found->answer);
+}
+
+}  // namespace plantaintiller::config
--- a/plantaintiller/config/configuration_codec.cpp
+++ b/plantaintiller/config/configuration_codec.cpp
@@ -26,13 +26,10 @@
                                      std::int64_t least,
                                      std::int64_t most) {
   const value* field = FieldOf(json, name);
-  std::int64_t number = -1;
-  if (field != nullptr && field->is_int64()) {
-    number = field->get_int64();
-  } else if (field != nullptr && field->is_uint64()) {
-    number = static_cast<std::int64_t>(field->get_uint64());
-  }
-  if (field == nullptr || number < least || number > most) {
+  boost::json::error_code error;
+  const std::int64_t number =
+      field == nullptr ? least - 1 : field->to_number<std::int64_t>(error);
+  if (error || number < least || number > most) {
     return core::Fail(error_type::kBadConfiguration, name,
                       "expected a whole number from " + std::to_string(least) +
                           " to " + std::to_string(most));
--- a/plantaintiller/decisions/instance_decider.cpp
+++ b/plantaintiller/decisions/instance_decider.cpp
@@ -506,6 +506,10 @@
   return membership_.IsReachable(peer);
 }
 
+bool instance_decider::IsKnown(core::instance_id peer) const {
+  return membership_.IsKnown(peer);
+}
+
 void instance_decider::SubmitLocally(std::uint64_t handle,
                                      const core::statement& work,
                                      core::slot_number slot,
--- a/plantaintiller/decisions/membership.h
+++ b/plantaintiller/decisions/membership.h
@@ -49,6 +49,8 @@
   std::vector<core::instance_id> Peers() const;
   /// Whether a peer can be sent work.
   bool IsReachable(core::instance_id peer) const;
+  /// Whether a peer has ever been listed.
+  bool IsKnown(core::instance_id peer) const { return peers_.contains(peer); }
   core::zone_id ZoneOf(core::instance_id peer) const;
 
  private:
--- a/plantaintiller/decisions/request_router.cpp
+++ b/plantaintiller/decisions/request_router.cpp
@@ -290,7 +290,12 @@
     Route(handle, item, now);
     return;
   }
-  const bool retry = IsRetryable(outcome.refusal) && !IsPinned(item.work) &&
+  // A new instance may not have heard yet of the one that holds a transaction;
+  // one that it knows and cannot reach has taken the transaction with it.
+  const bool holder_unknown = outcome.refusal == refusal_type::kNoExecutor &&
+                              !host_.IsKnown(item.work.transaction.executor);
+  const bool may_repeat = !IsPinned(item.work) || holder_unknown;
+  const bool retry = IsRetryable(outcome.refusal) && may_repeat &&
                      now + settings_.first_delay < item.work.deadline &&
                      parked_ < settings_.parked;
   if (!retry) {
--- a/plantaintiller/decisions/router_host.h
+++ b/plantaintiller/decisions/router_host.h
@@ -24,6 +24,8 @@
       core::backend_server_id server) = 0;
   /// Whether a peer can be sent work.
   virtual bool IsReachable(core::instance_id peer) const = 0;
+  /// Whether a peer has ever been heard of.
+  virtual bool IsKnown(core::instance_id peer) const = 0;
   /// Availability zone of this instance.
   virtual core::zone_id Zone() const = 0;
   /// Runs a statement on this instance's own connections.
--- a/plantaintiller/platform/platform_codec.cpp
+++ b/plantaintiller/platform/platform_codec.cpp
@@ -12,13 +12,9 @@
   if (field == nullptr) {
     return std::nullopt;
   }
-  if (field->is_uint64()) {
-    return field->get_uint64();
-  }
-  if (field->is_int64() && field->get_int64() >= 0) {
-    return static_cast<std::uint64_t>(field->get_int64());
-  }
-  return std::nullopt;
+  boost::json::error_code error;
+  const auto number = field->to_number<std::uint64_t>(error);
+  return error ? std::nullopt : std::optional(number);
 }
 
 std::string TextOf(const object& fields, const char* name) {
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,6 +1,9 @@
 """Runs the demo's processes until interrupted; scripts/demo starts it."""
 
+import argparse
+import json
 import pathlib
+import signal
 import sys
 import time
 
@@ -10,17 +13,36 @@
 from deployment import Deployment  # noqa: E402
 
 
+def start(name):
+    """The small demo, or a user's deployment with its eight instances."""
+    folder = ROOT / "demo-run"
+    if name is None:
+        return Deployment(folder)
+    answers = json.loads((ROOT / "examples" / f"{name}.json").read_text())
+    return Deployment(folder, answers=answers, instances=8)
+
+
+def stop(*_):
+    raise KeyboardInterrupt
+
+
 def main():
-    deployment = Deployment(ROOT / "demo-run")
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", choices=["swanlodge", "agency"],
+                        help="starts a user's deployment instead of the small demo")
+    chosen = parser.parse_args()
+    signal.signal(signal.SIGTERM, stop)
+    deployment = start(chosen.deployment)
     try:
         deployment.wait_ready()
-        print("platform  127.0.0.1:%d" % deployment.platform_port)
+        print(f"platform  127.0.0.1:{deployment.platform_port}")
         for number, ports in deployment.instances.items():
-            print("instance %d in %s  callers 127.0.0.1:%d  operators 127.0.0.1:%d"
-                  % (number, ports["zone"], ports["callers"], ports["operators"]))
+            print(f"instance {number} in {ports['zone']}  "
+                  f"callers 127.0.0.1:{ports['callers']}  "
+                  f"operators 127.0.0.1:{ports['operators']}")
         print("\nTry:\n  curl -s http://127.0.0.1:%d/v1/statements -d "
-              "'{\"database\":\"database-1\",\"access\":\"read\",\"sql\":\"SELECT 1\"}'\n"
-              % deployment.instances[1]["callers"])
+              "'{\"database\":\"%s\",\"access\":\"read\",\"sql\":\"SELECT 1\"}'\n"
+              % (deployment.instances[1]["callers"], deployment.database_name(1)))
         print("Logs are in demo-run/. Ctrl-C ends the demo.", flush=True)
         while True:
             time.sleep(1)
--- /dev/null
+++ b/tests/config/answers_test.cpp
@@ -0,0 +1,109 @@
+#include "plantaintiller/config/answers.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <random>
+
+#include "plantaintiller/config/configuration_codec.h"
+
+namespace plantaintiller::config {
+
+namespace {
+
+answers RandomAnswers(unsigned seed) {
+  std::mt19937 random(seed);
+  answers made;
+  made.deployment = "deployment-" + std::to_string(seed);
+  const unsigned zones = 1 + random() % 4;
+  for (unsigned n = 0; n < zones; ++n) {
+    made.zones.push_back("zone-" + std::to_string(n));
+  }
+  made.any_stale_reads = false;
+  std::uint16_t port = 1000;
+  const unsigned databases = 1 + random() % 5;
+  for (unsigned n = 0; n < databases; ++n) {
+    database_answer database;
+    database.service = "service-" + std::to_string(random() % 3);
+    database.name = "db" + std::to_string(n);
+    database.connections = static_cast<int>(1 + random() % 100);
+    database.stale_reads_ms = random() % 2 == 0 ? 0 : 5000;
+    made.any_stale_reads = made.any_stale_reads || database.stale_reads_ms > 0;
+    const unsigned slots = 1 + random() % 8;
+    for (unsigned slot = 0; slot < slots; ++slot) {
+      database.servers.push_back({made.zones[random() % zones], "127.0.0.1",
+                                  ++port, slot > 0 && random() % 4 == 0});
+    }
+    made.databases.push_back(std::move(database));
+  }
+  return made;
+}
+
+// Type and subject of what is wrong with answers; empty if nothing is.
+std::string ProblemOf(const answers& given) {
+  return boost::leaf::try_handle_all(
+      [&]() -> core::result<std::string> {
+        BOOST_LEAF_CHECK(AnswersFromJson(ToJson(given)));
+        return std::string();
+      },
+      [](const core::error& problem) {
+        return std::string(core::ErrorName(problem.type)) + ": " +
+               problem.subject;
+      },
+      [] { return std::string("?"); });
+}
+
+}  // namespace
+
+TEST_CASE("answers: answers, configuration, answers") {
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    const answers given = RandomAnswers(seed);
+    CHECK(ProblemOf(given).empty());
+    const core::configuration made = Generate(given, {});
+    CHECK(AnswersFrom(made) == given);
+    const auto read = ConfigurationFromJson(ToJson(made));
+    REQUIRE(read.has_value());
+    CHECK(AnswersFrom(*read) == given);
+    CHECK(Differences(made, *read).empty());
+  }
+}
+
+TEST_CASE("answers: databases keep their ids") {
+  answers given = RandomAnswers(4);
+  const core::configuration first = Generate(given, {});
+  database_answer added = given.databases[0];
+  added.name = "added";
+  given.databases.insert(given.databases.begin(), added);
+  const core::configuration second = Generate(given, first);
+  for (const core::database_settings& before : first.databases) {
+    CHECK(second.FindByName(before.name)->id == before.id);
+  }
+  CHECK(Differences(first, second).size() == 1);
+}
+
+TEST_CASE("answers: contradictions name both questions") {
+  answers given = RandomAnswers(4);
+  given.any_stale_reads = false;
+  given.databases[0].stale_reads_ms = 100;
+  CHECK(ProblemOf(given) ==
+        "contradictory_answers: any_stale_reads and "
+        "databases[0].stale_reads_ms");
+  given = RandomAnswers(4);
+  given.databases[0].servers[0].zone = "atlantis";
+  CHECK(ProblemOf(given) ==
+        "contradictory_answers: availability_zones and "
+        "databases[0].slots[0].availability_zone");
+  given = RandomAnswers(4);
+  given.databases.push_back(given.databases[0]);
+  CHECK(ProblemOf(given).starts_with("contradictory_answers: databases and"));
+  given = RandomAnswers(4);
+  given.databases[0].connections = 0;
+  CHECK(ProblemOf(given) == "bad_configuration: databases[0].connections");
+}
+
+TEST_CASE("answers: settings are explained") {
+  CHECK(ExplainSetting("connections").has_value());
+  CHECK_FALSE(ExplainSetting("colour").has_value());
+}
+
+}  // namespace plantaintiller::config
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -40,6 +40,16 @@
         connection.close()
 
 
+def run_command(*arguments, environment=None):
+    """Runs a subcommand to its end. Returns its exit status, output and errors."""
+    variables = {k: v for k, v in os.environ.items()
+                 if not k.startswith("PLANTAINTILLER_")}
+    done = subprocess.run([str(BINARY), *map(str, arguments)], text=True,
+                          capture_output=True, timeout=60,
+                          env={**variables, **(environment or {})}, check=False)
+    return done.returncode, done.stdout, done.stderr
+
+
 class Process:
     """A process of the system, with its log in a file."""
 
@@ -62,71 +72,68 @@
             self.popen.kill()
         self.popen.wait()
 
-    def terminate(self, timeout=30):
-        """Asks for a graceful end. Returns the exit status."""
-        self.popen.terminate()
-        return self.popen.wait(timeout)
+
+def sample_answers(zones, databases, slots, connections):
+    """Answers to the questionnaire for a system of equal databases."""
+    return {
+        "deployment": "demo", "availability_zones": list(zones),
+        "databases": [
+            {"service": "demo", "name": f"database-{number}",
+             "connections": connections, "stale_reads_ms": 0,
+             "slots": [{"availability_zone": zones[slot % len(zones)],
+                        "host": "127.0.0.1", "port": 1}
+                       for slot in range(slots)]}
+            for number in range(1, databases + 1)]}
 
 
 class Deployment:
     """A stand-in platform, stand-in backend servers, and entry instances."""
 
     def __init__(self, log_folder, zones=("perth-north", "perth-south"),
-                 instances=3, databases=2, slots=2, connections=16):
+                 instances=3, databases=2, slots=2, connections=16, answers=None):
         self.log_folder = pathlib.Path(log_folder)
         self.log_folder.mkdir(parents=True, exist_ok=True)
-        self.zones = zones
-        self.connections = connections
+        self.answers = answers or sample_answers(zones, databases, slots,
+                                                 connections)
+        self.zones = self.answers["availability_zones"]
         self.processes = []
         self.platform_port = free_port()
         self.platform = self.start(
             "platform",
             ["stand-in", "platform", "--listen", f"127.0.0.1:{self.platform_port}"])
         self.backends = {}
-        self.configuration = {
-            "version": 0, "deployment": "demo",
-            "availability_zones": list(zones), "databases": []}
-        for number in range(1, databases + 1):
-            self.add_database(number, slots)
+        for number, database in enumerate(self.answers["databases"], 1):
+            self.start_backends(number, database)
         self.instances = {}
         for number in range(1, instances + 1):
-            self.add_instance(number, zones[(number - 1) % len(zones)])
-        wait_until(lambda: self.platform_answers(), "the platform answers")
+            self.add_instance(number, self.zones[(number - 1) % len(self.zones)])
+        wait_until(self.platform_answers, "the platform answers")
         self.register()
-        self.publish(0)
+        status, out, errors = self.publish()
+        if status != 0:
+            raise AssertionError(out + errors)
 
     def start(self, name, arguments):
         process = Process(name, arguments, self.log_folder)
         self.processes.append(process)
         return process
 
-    def add_database(self, number, slots):
-        servers = []
-        for slot in range(slots):
-            port = free_port()
+    def start_backends(self, number, database):
+        for slot, place in enumerate(database["slots"]):
+            place["port"] = free_port()
             process = self.start(
                 f"backend-{number}-{slot}",
-                ["stand-in", "backend", "--listen", f"127.0.0.1:{port}",
-                 "--connections", str(self.connections)])
-            self.backends[number, slot] = (process, port)
-            servers.append({"availability_zone": self.zones[slot % len(self.zones)],
-                            "host": "127.0.0.1", "port": port})
-        self.configuration["databases"].append(
-            {"id": number, "name": f"database-{number}",
-             "connections": self.connections, "default_max_staleness_ms": 0,
-             "backend_servers": servers})
+                ["stand-in", "backend", "--listen", f"127.0.0.1:{place['port']}",
+                 "--connections", str(database["connections"])])
+            self.backends[number, slot] = (process, place["port"])
 
     def add_instance(self, number, zone):
         ports = {"callers": free_port(), "operators": free_port(),
                  "peers": free_port(), "zone": zone}
         self.instances[number] = ports
-        self.start_instance(number)
-
-    def start_instance(self, number):
-        ports = self.instances[number]
         ports["process"] = self.start(
-            f"instance-{number}-{len(self.processes)}",
-            ["serve", "--instance", str(number), "--zone", ports["zone"],
+            f"instance-{number}",
+            ["serve", "--instance", str(number), "--zone", zone,
              "--platform", f"127.0.0.1:{self.platform_port}",
              "--callers", f"127.0.0.1:{ports['callers']}",
              "--operators", f"127.0.0.1:{ports['operators']}",
@@ -141,9 +148,20 @@
                      "host": "127.0.0.1", "port": ports["peers"], "state": "live"}
             exchange(self.platform_port, "PUT", f"/v1/instances/{number}", entry)
 
-    def publish(self, base_version):
-        body = {"expected_version": base_version, "value": self.configuration}
-        return exchange(self.platform_port, "PUT", "/v1/rows/configuration", body)
+    def write_answers(self):
+        path = self.log_folder / "answers.json"
+        path.write_text(json.dumps(self.answers))
+        return path
+
+    def publish(self):
+        """Publishes the answers, as an operator would."""
+        return run_command("questionnaire", "--answers", self.write_answers(),
+                           "--publish", "--platform",
+                           f"127.0.0.1:{self.platform_port}")
+
+    def database_name(self, number):
+        database = self.answers["databases"][number - 1]
+        return f"{database['service']}.{database['name']}"
 
     def platform_faults(self, **faults):
         return exchange(self.platform_port, "PUT", "/v1/faults", faults)
@@ -153,7 +171,7 @@
                         timeout)
 
     def statement(self, instance, sql, params=(), access="read", database=1, **fields):
-        body = {"database": f"database-{database}", "sql": sql,
+        body = {"database": self.database_name(database), "sql": sql,
                 "params": list(params), "access": access, **fields}
         return self.post(instance, "/v1/statements", body)
 
@@ -161,11 +179,11 @@
         return exchange(self.instances[instance]["operators"], method, target)
 
     def wait_ready(self):
-        """Waits until every instance takes writes for every database."""
+        """Waits until every instance serves every database."""
         for instance in self.instances:
             wait_until(lambda: self.operator(instance, "/v1/ready")[0] == 200,
                        f"instance {instance} is ready")
-            for database in range(1, len(self.configuration["databases"]) + 1):
+            for database in range(1, len(self.answers["databases"]) + 1):
                 wait_until(lambda: self.statement(
                     instance, "SELECT 1", database=database)[0] == 200,
                     f"instance {instance} serves database {database}")
--- a/tests/processes/history.py
+++ b/tests/processes/history.py
@@ -68,7 +68,7 @@
 
     def _write(self, random_source, token, own):
         identity = uuid.UUID(int=random_source.getrandbits(128)).hex
-        body = {"database": "database-1", "access": "write",
+        body = {"database": "demo.database-1", "access": "write",
                 "sql": "INSERT INTO written VALUES($1)", "params": [identity],
                 "request_id": identity, "session_token": token,
                 "deadline_ms": 3000}
@@ -98,7 +98,7 @@
     def _read(self, random_source, token, own):
         staleness = random_source.choice([0, 500, 5000])
         answer = self._post(random_source, {
-            "database": "database-1", "access": "read",
+            "database": "demo.database-1", "access": "read",
             "sql": "SELECT id FROM written", "session_token": token,
             "max_staleness_ms": staleness, "deadline_ms": 3000})
         if answer is None:
--- a/tests/processes/test_bad_input.py
+++ b/tests/processes/test_bad_input.py
@@ -50,11 +50,11 @@
                                         b"\r\n\r\n"))
 
     def test_truncated_body(self):
-        whole = self.request(b'{"database":"database-1"}')
+        whole = self.request(b'{"database":"demo.database-1"}')
         self.assertEqual(self.talk(whole[:-5], half_close=True), b"")
 
     def test_half_closed_caller_gets_its_answer(self):
-        body = json.dumps({"database": "database-1", "access": "read",
+        body = json.dumps({"database": "demo.database-1", "access": "read",
                            "sql": "SELECT 7"}).encode()
         answer = self.talk(self.request(body, b"Connection: close\r\n"),
                            half_close=True)
@@ -62,7 +62,7 @@
 
     def test_pipelined_requests_are_answered_in_order(self):
         def body(number):
-            return json.dumps({"database": "database-1", "access": "read",
+            return json.dumps({"database": "demo.database-1", "access": "read",
                                "sql": f"SELECT {number}"}).encode()
         data = b"".join(self.request(body(n)) for n in range(100, 119))
         data += self.request(body(119), b"Connection: close\r\n")
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -5,7 +5,7 @@
 import time
 import unittest
 
-from deployment import Deployment, wait_until
+from deployment import Deployment, run_command, wait_until
 from history import Load
 
 
@@ -110,15 +110,12 @@
         self.assertEqual(load.check(1), [])
 
     def test_silent_backend_connections(self):
-        import subprocess
-        from deployment import BINARY
-
         def fault():
-            for process, port in self.system.backends.values():
-                subprocess.run(
-                    [str(BINARY), "stand-in", "fault", "--backend",
-                     f"127.0.0.1:{port}", "--name", "silent", "--value", "1"],
-                    check=True)
+            for _, port in self.system.backends.values():
+                status, _, errors = run_command(
+                    "stand-in", "fault", "--backend", f"127.0.0.1:{port}",
+                    "--name", "silent", "--value", "1")
+                self.assertEqual(status, 0, errors)
 
         self.run_load(fault)
 
