--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -29,7 +29,7 @@
 constexpr std::uint32_t kZones = 5;
 
 std::shared_ptr<core::configuration> MakeConfiguration(std::int64_t databases) {
-  const auto made = std::make_shared<core::configuration>();
+  auto made = std::make_shared<core::configuration>();
   made->version = 1;
   made->deployment = "bench";
   for (std::uint32_t zone = 0; zone < kZones; ++zone) {
@@ -99,7 +99,7 @@
 }
 
 // Databases and instances grow together, as between today and the plan.
-void BM_ControlTick(benchmark::State& state) {
+void ControlTick(benchmark::State& state) {
   counting_actions actions;
   const std::int64_t instances = state.range(0);
   auto decider = MakeDecider(actions, instances, state.range(1));
@@ -119,9 +119,9 @@
       static_cast<double>(actions.heartbeats - beats_before) / seconds;
   state.counters["reports"] = static_cast<double>(actions.reports);
 }
-BENCHMARK(BM_ControlTick)->Args({8, 9})->Args({190, 360})->Args({1900, 3600});
+BENCHMARK(ControlTick)->Args({8, 9})->Args({190, 360})->Args({1900, 3600});
 
-void BM_PlaceEverything(benchmark::State& state) {
+void PlaceEverything(benchmark::State& state) {
   counting_actions actions;
   auto decider = MakeDecider(actions, state.range(0), state.range(1));
   core::time_point now{milliseconds(1000005)};
@@ -134,13 +134,13 @@
     decider->OnConfiguration(next, now);
   }
 }
-BENCHMARK(BM_PlaceEverything)
+BENCHMARK(PlaceEverything)
     ->Args({8, 9})
     ->Args({190, 360})
     ->Args({1900, 3600})
     ->Unit(benchmark::kMillisecond);
 
-void BM_HeartbeatBytes(benchmark::State& state) {
+void HeartbeatBytes(benchmark::State& state) {
   decisions::heartbeat beat;
   for (std::int64_t n = 0; n < state.range(0); ++n) {
     beat.reports.push_back(
@@ -155,9 +155,9 @@
   }
   state.counters["bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_HeartbeatBytes)->Arg(0)->Arg(27)->Arg(270)->Arg(2700);
+BENCHMARK(HeartbeatBytes)->Arg(0)->Arg(27)->Arg(270)->Arg(2700);
 
-void BM_ConfigurationBytes(benchmark::State& state) {
+void ConfigurationBytes(benchmark::State& state) {
   const auto configuration = MakeConfiguration(state.range(0));
   std::size_t bytes = 0;
   for (auto _ : state) {
@@ -168,13 +168,13 @@
   }
   state.counters["bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_ConfigurationBytes)
+BENCHMARK(ConfigurationBytes)
     ->Arg(9)
     ->Arg(360)
     ->Arg(3600)
     ->Unit(benchmark::kMicrosecond);
 
-void BM_ConfigurationParse(benchmark::State& state) {
+void ConfigurationParse(benchmark::State& state) {
   const std::string text = boost::json::serialize(
       config::ToJson(*MakeConfiguration(state.range(0))));
   for (auto _ : state) {
@@ -182,13 +182,13 @@
     benchmark::DoNotOptimize(config::ConfigurationFromJson(json.value()));
   }
 }
-BENCHMARK(BM_ConfigurationParse)
+BENCHMARK(ConfigurationParse)
     ->Arg(9)
     ->Arg(360)
     ->Arg(3600)
     ->Unit(benchmark::kMicrosecond);
 
-void BM_TrackerReport(benchmark::State& state) {
+void TrackerReport(benchmark::State& state) {
   decisions::confirmation_tracker tracker;
   core::group_record record;
   record.term = 1;
@@ -204,9 +204,9 @@
     benchmark::DoNotOptimize(tracker.ProvesFreshness(offset, now));
   }
 }
-BENCHMARK(BM_TrackerReport)->Arg(1)->Arg(2)->Arg(3);
+BENCHMARK(TrackerReport)->Arg(1)->Arg(2)->Arg(3);
 
-void BM_TokenBytes(benchmark::State& state) {
+void TokenBytes(benchmark::State& state) {
   core::session_token token;
   for (std::int64_t n = 0; n < state.range(0); ++n) {
     token.Raise({static_cast<std::uint32_t>(n)}, {3, 12345});
@@ -218,10 +218,10 @@
   }
   state.counters["bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_TokenBytes)->Arg(1)->Arg(9)->Arg(90);
+BENCHMARK(TokenBytes)->Arg(1)->Arg(9)->Arg(90);
 
 /// One local statement through the decisions, with others outstanding.
-void BM_LocalStatement(benchmark::State& state) {
+void LocalStatement(benchmark::State& state) {
   counting_actions actions;
   auto decider = MakeDecider(actions, 1, 9);
   core::time_point now{milliseconds(1000005)};
@@ -273,7 +273,7 @@
     actions.answers.clear();
   }
 }
-BENCHMARK(BM_LocalStatement)->Arg(0)->Arg(64)->Arg(512);
+BENCHMARK(LocalStatement)->Arg(0)->Arg(64)->Arg(512);
 
 }  // namespace
 
--- a/plantaintiller/experiments/main.cpp
+++ b/plantaintiller/experiments/main.cpp
@@ -65,6 +65,7 @@
   });
   const auto part = [&gaps](milliseconds failover_gap::*which) {
     std::vector<milliseconds> values;
+    values.reserve(gaps.size());
     for (const failover_gap& gap : gaps) {
       values.push_back(gap.*which);
     }
--- a/tests/decisions/group_keeper_test.cpp
+++ b/tests/decisions/group_keeper_test.cpp
@@ -22,9 +22,9 @@
   core::time_point now{milliseconds(1000000)};
 
   // Lets time pass in steps, with the given servers answering.
-  void Pass(
-      milliseconds span,
-      std::vector<std::pair<core::slot_number, core::server_state>> answering) {
+  void Pass(milliseconds span,
+            const std::vector<std::pair<core::slot_number, core::server_state>>&
+                answering) {
     for (milliseconds step(0); step < span; step += milliseconds(10)) {
       now += milliseconds(10);
       for (const auto& [slot, state] : answering) {
