Heartbeats introduce instances; a new one asks its seeds for the configuration

Cause: an instance that the platform's list did not have yet was ignored by its peers, so that one started during an outage of the store never got a configuration from them. Ruled out: its port taken by another process (the log showed it listening); the tests now take ports below the range of outgoing connections all the same.

--- a/plantaintiller/decisions/instance_actions.h
+++ b/plantaintiller/decisions/instance_actions.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "plantaintiller/core/group_record.h"
@@ -109,6 +110,11 @@
 /// Periodic message between instances.
 struct heartbeat {
   core::instance_id from;
+  core::zone_id zone;
+  /// Address of the sender, so that an instance that the platform's list does
+  /// not have yet can be answered.
+  std::string host;
+  std::uint16_t port = 0;
   bool leaving = false;
   std::uint64_t configuration_version = 0;
   std::vector<server_report> reports;
--- a/plantaintiller/decisions/instance_decider.cpp
+++ b/plantaintiller/decisions/instance_decider.cpp
@@ -85,7 +85,7 @@
 
 void instance_decider::OnHeartbeat(const heartbeat& beat,
                                    core::time_point now) {
-  membership_.OnHeartbeat(beat.from, beat.leaving, now);
+  membership_.OnHeartbeat(beat.from, beat.zone, beat.leaving, now);
   for (const server_report& report : beat.reports) {
     if (group_keeper* keeper = KeeperOf(report.server.database)) {
       keeper->OnPeerReport(report.server.slot, now - report.heard_ago);
@@ -253,6 +253,7 @@
     SendHeartbeats(now);
   }
   ReadPlatform(now);
+  AskPeersForConfiguration(now);
   KeepRecords(now);
   executor_.OnTick(now);
   router_.OnTick(now);
@@ -322,6 +323,7 @@
   next_heartbeat_ = now + settings_.members.heartbeat_interval;
   heartbeat beat;
   beat.from = settings_.self;
+  beat.zone = settings_.zone;
   beat.leaving = draining_;
   beat.configuration_version = configuration_.Version();
   for (const auto& [database, watched] : watched_) {
@@ -338,6 +340,16 @@
   }
 }
 
+void instance_decider::AskPeersForConfiguration(core::time_point now) {
+  const std::vector<core::instance_id> peers =
+      IsReady() ? std::vector<core::instance_id>() : membership_.Peers();
+  if (peers.empty() || now < next_pull_) {
+    return;
+  }
+  next_pull_ = now + kPullInterval;
+  actions_.PullConfiguration(peers[random_() % peers.size()]);
+}
+
 bool instance_decider::ReadsForZone() const {
   // The first two instances of the zone, by id, read for the others.
   int before = 0;
--- a/plantaintiller/decisions/instance_decider.h
+++ b/plantaintiller/decisions/instance_decider.h
@@ -156,6 +156,7 @@
                 core::time_point now);
   void SendHeartbeats(core::time_point now);
   void ReadPlatform(core::time_point now);
+  void AskPeersForConfiguration(core::time_point now);
   bool ReadsForZone() const;
 
   const instance_decider_settings settings_;
--- a/plantaintiller/decisions/membership.cpp
+++ b/plantaintiller/decisions/membership.cpp
@@ -33,16 +33,17 @@
 }
 
 void membership::OnHeartbeat(core::instance_id from,
+                             core::zone_id zone,
                              bool leaving,
                              core::time_point now) {
-  const auto found = peers_.find(from);
-  if (found == peers_.end()) {
-    // Its address and zone come with the list.
+  if (from == self_) {
     return;
   }
-  found->second.heard = true;
-  found->second.last_heard = now;
-  found->second.leaving = leaving;
+  peer& heard = peers_[from];
+  heard.zone = zone;
+  heard.heard = true;
+  heard.last_heard = now;
+  heard.leaving = leaving;
 }
 
 bool membership::OnTick(core::time_point now) {
--- a/plantaintiller/decisions/membership.h
+++ b/plantaintiller/decisions/membership.h
@@ -21,8 +21,8 @@
 
 /// Which instances are live, from heartbeats and the platform's lagging list.
 ///
-/// The list introduces instances; heartbeats decide. An instance that was heard
-/// from and fell silent is gone, whatever the list says.
+/// The list and heartbeats introduce instances; heartbeats decide. An instance
+/// that was heard from and fell silent is gone, whatever the list says.
 class membership {
  public:
   membership(core::instance_id self,
@@ -32,8 +32,11 @@
   /// The platform's list, however old it may be.
   void OnList(const std::vector<core::instance_entry>& list,
               core::time_point now);
-  /// A peer's heartbeat.
-  void OnHeartbeat(core::instance_id from, bool leaving, core::time_point now);
+  /// A peer's heartbeat; it also introduces a peer that the list does not have.
+  void OnHeartbeat(core::instance_id from,
+                   core::zone_id zone,
+                   bool leaving,
+                   core::time_point now);
   /// This instance is leaving.
   void Leave() { leaving_ = true; }
 
--- a/plantaintiller/instances/instance.capnp
+++ b/plantaintiller/instances/instance.capnp
@@ -80,6 +80,9 @@
   leaving @1 :Bool;
   configurationVersion @2 :UInt64;
   reports @3 :List(ServerReport);
+  zone @4 :UInt32;
+  host @5 :Text;
+  port @6 :UInt16;
 }
 
 interface Instance {
--- a/plantaintiller/instances/instance.capnp.h
+++ b/plantaintiller/instances/instance.capnp.h
@@ -173,7 +173,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6bed10442b292bb, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f6bed10442b292bb, 3, 2)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() {
       return &schema->defaultBrand;
@@ -1238,6 +1238,13 @@
                        ::capnp::Kind::STRUCT>::Reader
   getReports() const;
 
+  inline ::uint32_t getZone() const;
+
+  inline bool hasHost() const;
+  inline ::capnp::Text::Reader getHost() const;
+
+  inline ::uint16_t getPort() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1298,6 +1305,19 @@
                     ::capnp::Kind::STRUCT>>
   disownReports();
 
+  inline ::uint32_t getZone();
+  inline void setZone(::uint32_t value);
+
+  inline bool hasHost();
+  inline ::capnp::Text::Builder getHost();
+  inline void setHost(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownHost();
+
+  inline ::uint16_t getPort();
+  inline void setPort(::uint16_t value);
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3137,6 +3157,71 @@
           _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline ::uint32_t Heartbeat::Reader::getZone() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Heartbeat::Builder::getZone() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setZone(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline bool Heartbeat::Reader::hasHost() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline bool Heartbeat::Builder::hasHost() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::Text::Reader Heartbeat::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Heartbeat::Builder::getHost() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setHost(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::Text::Builder Heartbeat::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
+}
+inline void Heartbeat::Builder::adoptHost(
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Heartbeat::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint16_t Heartbeat::Reader::getPort() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t Heartbeat::Builder::getPort() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setPort(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
 #if !CAPNP_LITE
 inline Instance::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/plantaintiller/instances/wire_codec.cpp
+++ b/plantaintiller/instances/wire_codec.cpp
@@ -216,6 +216,9 @@
 
 void Encode(const decisions::heartbeat& from, wire::Heartbeat::Builder to) {
   to.setFrom(from.from.value);
+  to.setZone(from.zone.value);
+  to.setHost(from.host.c_str());
+  to.setPort(from.port);
   to.setLeaving(from.leaving);
   to.setConfigurationVersion(from.configuration_version);
   auto reports = to.initReports(static_cast<unsigned>(from.reports.size()));
@@ -231,6 +234,9 @@
 decisions::heartbeat Decode(wire::Heartbeat::Reader from) {
   decisions::heartbeat to;
   to.from = {from.getFrom()};
+  to.zone = {from.getZone()};
+  to.host = from.getHost().cStr();
+  to.port = from.getPort();
   to.leaving = from.getLeaving();
   to.configuration_version = from.getConfigurationVersion();
   for (const auto report : from.getReports()) {
--- a/plantaintiller/serve/decision_duty.cpp
+++ b/plantaintiller/serve/decision_duty.cpp
@@ -177,7 +177,16 @@
 }
 
 void decision_duty::On(const instances::heartbeat_event& happened) {
-  decider_->OnHeartbeat(happened.beat, core::clock::now());
+  const decisions::heartbeat& beat = happened.beat;
+  if (!decider_->Members().IsKnown(beat.from) && beat.port != 0) {
+    core::instance_entry sender;
+    sender.id = beat.from;
+    sender.zone = beat.zone;
+    sender.host = beat.host;
+    sender.port = beat.port;
+    rings_.to_instances.TrySend(instances::peers_command{{sender}});
+  }
+  decider_->OnHeartbeat(beat, core::clock::now());
 }
 
 void decision_duty::On(const instances::configuration_event& happened) {
@@ -325,7 +334,10 @@
 
 void decision_duty::SendHeartbeat(core::instance_id to,
                                   const decisions::heartbeat& beat) {
-  rings_.to_instances.TrySend(instances::heartbeat_command{to, beat});
+  decisions::heartbeat sent = beat;
+  sent.host = settings_.peer_host;
+  sent.port = settings_.peer_port;
+  rings_.to_instances.TrySend(instances::heartbeat_command{to, sent});
 }
 
 void decision_duty::ReadGroupRecord(core::database_id database) {
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -5,12 +5,14 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import pathlib
 import signal
 import socket
 import subprocess
+import sys
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -18,11 +20,21 @@
     os.environ.get("PLANTAINTILLER_BINARY", ROOT / "build/release/plantaintiller"))
 
 
+# Below the range that the system takes for outgoing connections, which could
+# otherwise sit on a port while its process is being restarted.
+PORTS = itertools.cycle(range(12000 + os.getpid() % 8000, 32000))
+
+
 def free_port():
-    """A port that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nothing uses now, not given out before."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    raise AssertionError("no free port")
 
 
 def exchange(port, method, target, body=None, timeout=15):
@@ -67,6 +79,10 @@
         self.popen.send_signal(number)
 
     def kill(self):
+        if self.popen.poll() not in (None, 0, -signal.SIGKILL):
+            print(f"{self.name} had ended with {self.popen.returncode}:",
+                  *self.log_path.read_text().splitlines()[-5:], sep="\n  ",
+                  file=sys.stderr)
         if self.popen.poll() is None:
             self.popen.send_signal(signal.SIGCONT)
             self.popen.kill()
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -117,6 +117,7 @@
         self.assertEqual(status, 200, answer)
 
     def test_new_instance_learns_from_peers_with_the_store_down(self):
+        # The others need not have heard of it: its heartbeats introduce it.
         self.system.platform_faults(down=True)
         peers = ",".join(
             f"{number}@{ports['zone']}=127.0.0.1:{ports['peers']}"
