--- a/plantaintiller/cli/program.cpp
+++ b/plantaintiller/cli/program.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "plantaintiller/cli/config_commands.h"
+#include "plantaintiller/cli/history_commands.h"
 #include "plantaintiller/cli/operator_commands.h"
 #include "plantaintiller/cli/questionnaire_command.h"
 #include "plantaintiller/cli/serve_command.h"
@@ -20,6 +21,8 @@
   commands_.push_back(std::make_unique<questionnaire_command>());
   commands_.push_back(std::make_unique<config_publish_command>());
   commands_.push_back(std::make_unique<config_show_command>());
+  commands_.push_back(std::make_unique<config_history_command>());
+  commands_.push_back(std::make_unique<config_rollback_command>());
   commands_.push_back(std::make_unique<operator_command>(
       "status", "Shows an instance's state.", "GET", "/v1/status"));
   commands_.push_back(std::make_unique<operator_command>(
--- a/plantaintiller/cli/published_configuration.cpp
+++ b/plantaintiller/cli/published_configuration.cpp
@@ -1,6 +1,7 @@
 #include "plantaintiller/cli/published_configuration.h"
 
 #include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -23,6 +24,28 @@
   return std::string("/v1/rows/") + platform::kConfigurationKey;
 }
 
+std::string KeptTarget(std::uint64_t version) {
+  return "/v1/objects/configuration." + std::to_string(version);
+}
+
+// The row is published already; a copy that cannot be kept only leaves a gap in
+// the history.
+void Keep(const address& platform,
+          const core::configuration& configuration,
+          std::uint64_t version) {
+  const std::string body =
+      boost::json::serialize(config::ToJson(configuration));
+  boost::leaf::try_handle_all(
+      [&]() -> core::result<void> {
+        BOOST_LEAF_CHECK(
+            BlockingRequest(platform, {"PUT", KeptTarget(version), body}));
+        return {};
+      },
+      [version] {
+        std::cerr << "version " << version << " is not kept for the history\n";
+      });
+}
+
 core::result<core::configuration> ParseRow(const std::string& body) {
   BOOST_LEAF_AUTO(json, config::ParseJson(body));
   const boost::json::object* row = json.if_object();
@@ -59,6 +82,23 @@
   return ParseRow(answer.body);
 }
 
+core::result<std::optional<core::configuration>> ReadKept(
+    const address& platform,
+    std::uint64_t version) {
+  BOOST_LEAF_AUTO(answer,
+                  BlockingRequest(platform, {"GET", KeptTarget(version), ""}));
+  if (answer.status == kNotFound) {
+    return std::optional<core::configuration>();
+  }
+  if (answer.status != kOk) {
+    return core::Fail(core::error_type::kUnavailable, "platform", answer.body);
+  }
+  BOOST_LEAF_AUTO(json, config::ParseJson(answer.body));
+  BOOST_LEAF_AUTO(kept, config::ConfigurationFromJson(json));
+  kept.version = version;
+  return std::optional(std::move(kept));
+}
+
 core::result<std::uint64_t> Publish(const address& platform,
                                     const core::configuration& configuration,
                                     std::uint64_t base_version) {
@@ -78,6 +118,7 @@
   if (answer.status != kOk) {
     return core::Fail(core::error_type::kUnavailable, "platform", answer.body);
   }
+  Keep(platform, configuration, base_version + 1);
   return base_version + 1;
 }
 
--- a/plantaintiller/cli/published_configuration.h
+++ b/plantaintiller/cli/published_configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "plantaintiller/cli/option_set.h"
@@ -15,7 +16,14 @@
 /// Reads the published configuration; version 0 if there is none yet.
 core::result<core::configuration> ReadPublished(const address& platform);
 
-/// Publishes a configuration if `base_version` is still the newest.
+/// Reads a version as it was published, from the object store.
+/// @return nothing if that version is not kept there.
+core::result<std::optional<core::configuration>> ReadKept(
+    const address& platform,
+    std::uint64_t version);
+
+/// Publishes a configuration if `base_version` is still the newest, and keeps a
+/// copy in the object store.
 /// @return the new version, or kConflict that shows the other change.
 core::result<std::uint64_t> Publish(const address& platform,
                                     const core::configuration& configuration,
--- a/plantaintiller/decisions/statement_executor.cpp
+++ b/plantaintiller/decisions/statement_executor.cpp
@@ -37,11 +37,6 @@
 
 }  // namespace
 
-statement_executor::server_pool::server_pool(int count, std::size_t capacity)
-    : queue(count, capacity),
-      limit(static_cast<std::size_t>(count)),
-      connections(limit) {}
-
 statement_executor::statement_executor(core::instance_id self,
                                        std::uint64_t incarnation,
                                        const executor_settings& settings,
@@ -74,26 +69,18 @@
     }
     return;
   }
-  server_pool& pool = found->second;
-  const auto limit = static_cast<std::size_t>(connections);
-  if (pool.limit == limit) {
+  backend_pool& pool = found->second;
+  if (pool.Limit() == connections) {
     return;
   }
-  pool.limit = limit;
-  pool.queue.SetConnections(connections);
-  if (pool.connections.size() < limit) {
-    pool.connections.resize(limit);
-  }
-  for (std::size_t n = limit; n < pool.connections.size(); ++n) {
-    if (!pool.connections[n].busy) {
-      actions_.CloseConnection(server, static_cast<std::uint32_t>(n));
-    }
+  for (const std::uint32_t idle : pool.SetLimit(connections)) {
+    actions_.CloseConnection(server, idle);
   }
-  if (limit > 0) {
+  if (connections > 0) {
     Dispatch(server, now);
     return;
   }
-  while (const std::optional<std::uint64_t> handle = pool.queue.PopAny()) {
+  while (const std::optional<std::uint64_t> handle = pool.PopAny()) {
     Finish(*handle,
            Refuse(refusal_type::kNoExecutor, effect_state::kNotRun, kRetrySoon),
            now);
@@ -102,18 +89,17 @@
 
 void statement_executor::SetClosing(core::backend_server_id server,
                                     core::time_point at) {
-  if (server_pool* pool = PoolOf(server); pool != nullptr) {
-    pool->closes_at = at;
+  if (backend_pool* pool = PoolOf(server); pool != nullptr) {
+    pool->SetClosing(at);
   }
 }
 
 int statement_executor::Connections(core::backend_server_id server) const {
   const auto found = pools_.find(server);
-  return found == pools_.end() ? 0 : static_cast<int>(found->second.limit);
+  return found == pools_.end() ? 0 : found->second.Limit();
 }
 
-statement_executor::server_pool* statement_executor::PoolOf(
-    core::backend_server_id server) {
+backend_pool* statement_executor::PoolOf(core::backend_server_id server) {
   const auto found = pools_.find(server);
   return found == pools_.end() ? nullptr : &found->second;
 }
@@ -142,8 +128,8 @@
     return;
   }
   const core::backend_server_id server{work.database, slot};
-  server_pool* pool = PoolOf(server);
-  if (pool == nullptr || pool->limit == 0 || now >= pool->closes_at) {
+  backend_pool* pool = PoolOf(server);
+  if (pool == nullptr || !pool->IsOpen(now)) {
     RefuseNow(item, refusal_type::kNoExecutor, kRetrySoon, now);
     return;
   }
@@ -183,28 +169,27 @@
   listener_.OnExecuted(item.origin, outcome, now);
 }
 
-bool statement_executor::Admit(server_pool& pool,
+bool statement_executor::Admit(backend_pool& pool,
                                const work_item& item,
                                core::time_point now) {
   const core::request_class priority = item.work.priority;
-  const auto ahead =
-      static_cast<core::duration::rep>(pool.queue.Length(priority));
-  const core::duration::rep share =
-      std::max(1, pool.queue.ReservedShare(priority));
-  const core::duration wait = pool.service_time * ahead / share;
+  const core::duration wait = pool.ExpectedWait(priority);
   refusal_type problem = refusal_type::kNone;
   const bool begins = item.kind == attempt_kind::kBegin;
   if (now >= item.work.deadline) {
     problem = refusal_type::kDeadlineExceeded;
-  } else if (begins && !HasRoomForTransaction(pool)) {
+  } else if (begins &&
+             !pool.HasRoomForTransaction(settings_.transaction_percent)) {
     problem = refusal_type::kOverloaded;
   } else if (works_.Full() || now + wait > item.work.deadline) {
     problem = refusal_type::kOverloaded;
   }
   if (problem == refusal_type::kNone) {
     const std::uint64_t handle = works_.Add(item);
-    if (pool.queue.Push(priority, handle)) {
-      pool.transactions += begins ? 1 : 0;
+    if (pool.Push(priority, handle)) {
+      if (begins) {
+        pool.OnTransactionOpening();
+      }
       return true;
     }
     works_.Remove(handle);
@@ -216,37 +201,17 @@
   return false;
 }
 
-bool statement_executor::HasRoomForTransaction(const server_pool& pool) const {
-  const int most =
-      static_cast<int>(pool.limit) * settings_.transaction_percent / 100;
-  return pool.transactions < std::max(1, most);
-}
-
 void statement_executor::Dispatch(core::backend_server_id server,
                                   core::time_point now) {
-  while (true) {
-    server_pool* pool = PoolOf(server);
-    if (pool == nullptr || now >= pool->closes_at) {
-      return;
-    }
-    const auto first = pool->connections.begin();
-    const auto last = first + static_cast<std::ptrdiff_t>(pool->limit);
-    const auto usable =
-        std::find_if(first, last, [now](const connection_slot& connection) {
-          return !connection.busy && connection.paused_until <= now;
-        });
-    if (usable == last) {
-      return;
-    }
-    const std::optional<std::uint64_t> handle = pool->queue.Pop();
-    if (!handle.has_value()) {
-      return;
-    }
-    work_item* item = works_.Find(*handle);
+  backend_pool* pool = PoolOf(server);
+  if (pool == nullptr) {
+    return;
+  }
+  while (const std::optional<backend_pool::started_work> next =
+             pool->TakeNext(now)) {
+    work_item* item = works_.Find(next->handle);
     item->pooled = true;
-    usable->busy = true;
-    const auto connection = static_cast<std::uint32_t>(usable - first);
-    Start(*handle, *item, connection, now);
+    Start(next->handle, *item, next->connection, now);
   }
 }
 
@@ -282,8 +247,7 @@
   const core::backend_server_id server{item.work.database, item.slot};
   FreeConnection(server, item.connection, item.work.priority, close);
   if (!close) {
-    server_pool* pool = PoolOf(server);
-    pool->service_time = (pool->service_time * 7 + (now - item.started)) / 8;
+    PoolOf(server)->OnServed(now - item.started);
   }
 }
 
@@ -291,10 +255,8 @@
                                         std::uint32_t connection,
                                         core::request_class priority,
                                         bool close) {
-  server_pool* pool = PoolOf(server);
-  pool->connections[connection].busy = false;
-  pool->queue.Release(priority);
-  if (close || connection >= pool->limit) {
+  const bool beyond_limit = PoolOf(server)->Free(connection, priority);
+  if (close || beyond_limit) {
     actions_.CloseConnection(server, connection);
   }
 }
@@ -336,8 +298,7 @@
   }
   const bool refused = result.status == attempt_status::kTooManyConnections;
   if (refused && item->pooled) {
-    PoolOf(server)->connections[item->connection].paused_until =
-        now + settings_.connection_pause;
+    PoolOf(server)->Pause(item->connection, now + settings_.connection_pause);
   }
   GiveBack(*item, lost || refused, now);
   item->state = work_state::kWaiting;
@@ -534,13 +495,13 @@
   const std::optional<std::uint64_t> offset =
       keeper.Tracker().OffsetOf(item.slot);
   const core::backend_server_id server{item.work.database, item.slot};
-  server_pool* pool = PoolOf(server);
+  backend_pool* pool = PoolOf(server);
   const bool reached = offset.has_value() && *offset >= item.needed_offset;
-  const bool can_run = pool != nullptr && pool->limit > 0;
+  const bool can_run = pool != nullptr && pool->IsOpen(now);
   if (now < item.catch_up_until && !reached) {
     return false;
   }
-  if (reached && can_run && pool->queue.Push(item.work.priority, handle)) {
+  if (reached && can_run && pool->Push(item.work.priority, handle)) {
     item.state = work_state::kQueued;
     Dispatch(server, now);
     return true;
@@ -590,7 +551,7 @@
   work_item* item = works_.Find(handle);
   outcome.server = {item->work.database, item->slot};
   if (item->kind == attempt_kind::kBegin && !outcome.Succeeded()) {
-    PoolOf(outcome.server)->transactions -= 1;
+    PoolOf(outcome.server)->OnTransactionEnded();
   }
   work_origin origin = item->origin;
   if (faults_.answer_oldest) {
@@ -654,8 +615,8 @@
   const core::backend_server_id server{item.work.database, item.slot};
   effect_state effect = effect_state::kNotRun;
   if (item.state == work_state::kQueued) {
-    if (server_pool* pool = PoolOf(server); pool != nullptr) {
-      pool->queue.Erase(item.work.priority, handle);
+    if (backend_pool* pool = PoolOf(server); pool != nullptr) {
+      pool->Erase(item.work.priority, handle);
     }
   } else {
     effect = EffectIfLost(item.kind);
@@ -746,7 +707,7 @@
   }
   const open_transaction closed = *open;
   transactions_.Remove(number);
-  PoolOf(closed.server)->transactions -= 1;
+  PoolOf(closed.server)->OnTransactionEnded();
   // The server rolls back whatever is open on a closed connection.
   FreeConnection(closed.server, closed.connection, closed.priority, !clean);
   Dispatch(closed.server, now);
--- a/plantaintiller/decisions/statement_executor.h
+++ b/plantaintiller/decisions/statement_executor.h
@@ -7,7 +7,7 @@
 
 #include "plantaintiller/core/slot_pool.h"
 #include "plantaintiller/core/statement.h"
-#include "plantaintiller/decisions/class_queue.h"
+#include "plantaintiller/decisions/backend_pool.h"
 #include "plantaintiller/decisions/faults.h"
 #include "plantaintiller/decisions/group_keeper.h"
 #include "plantaintiller/decisions/instance_actions.h"
@@ -131,22 +131,6 @@
     std::shared_ptr<const core::result_body> result;
     core::time_point started;
   };
-  struct connection_slot {
-    bool busy = false;
-    core::time_point paused_until;
-  };
-  struct server_pool {
-    server_pool(int limit, std::size_t capacity);
-    class_queue queue;
-    // Connections numbered `limit` and above end with the work they carry.
-    std::size_t limit;
-    std::vector<connection_slot> connections;
-    core::time_point closes_at = core::time_point::max();
-    // Transactions open or being opened.
-    int transactions = 0;
-    // Smoothed time that a statement holds a connection.
-    core::duration service_time{std::chrono::milliseconds(2)};
-  };
   struct open_transaction {
     core::backend_server_id server;
     core::request_class priority = core::request_class::kFresh;
@@ -156,11 +140,10 @@
     bool busy = false;
   };
 
-  server_pool* PoolOf(core::backend_server_id server);
+  backend_pool* PoolOf(core::backend_server_id server);
   group_keeper* KeeperOf(core::database_id database);
   void SubmitInTransaction(work_item item, core::time_point now);
-  bool Admit(server_pool& pool, const work_item& item, core::time_point now);
-  bool HasRoomForTransaction(const server_pool& pool) const;
+  bool Admit(backend_pool& pool, const work_item& item, core::time_point now);
   void Dispatch(core::backend_server_id server, core::time_point now);
   bool CheckPlace(const work_item& item,
                   const group_keeper& keeper,
@@ -222,7 +205,7 @@
   executor_listener& listener_;
   core::slot_pool<work_item> works_;
   core::slot_pool<open_transaction> transactions_;
-  std::map<core::backend_server_id, server_pool> pools_;
+  std::map<core::backend_server_id, backend_pool> pools_;
   std::map<core::database_id, group_keeper*> keepers_;
   // Handles of answers that wait for reports, by database.
   std::map<core::database_id, std::vector<std::uint64_t>> waiting_;
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -104,6 +104,22 @@
             wait_until(lambda: self.system.operator(instance, "/v1/status")[1]
                        ["configuration_version"] == 2, "version 2 is in force")
 
+    def test_history_and_rollback(self):
+        platform = ["--platform", f"127.0.0.1:{self.system.platform_port}"]
+        self.system.answers["databases"][0]["connections"] = 8
+        self.assertEqual(self.system.publish()[0], 0)
+        status, out, errors = run_command("config", "history", *platform)
+        self.assertEqual(status, 0, errors)
+        self.assertIn("version 2\n  demo.database-1: connections 16 -> 8", out)
+        status, out, errors = run_command("config", "rollback", *platform,
+                                          "--to", "1")
+        self.assertEqual(status, 0, errors)
+        self.assertIn("version 1 published as version 3", out)
+        _, shown, _ = run_command("config", "show", *platform)
+        self.assertEqual(json.loads(shown)["databases"][0]["connections"], 16)
+        self.assertEqual(
+            run_command("config", "rollback", *platform, "--to", "99")[0], 1)
+
     def test_leaving_primary_hands_over(self):
         self.system.answers["databases"][0]["slots"][0]["leaving"] = True
         self.assertEqual(self.system.publish()[0], 0)
