--- a/plantaintiller/decisions/request_router.cpp
+++ b/plantaintiller/decisions/request_router.cpp
@@ -264,6 +264,26 @@
   OnRefusal(handle, *item, outcome, now);
 }
 
+bool request_router::MayRetryLater(const request& item,
+                                   refusal_type refusal,
+                                   core::time_point now) {
+  // A new instance may not have heard yet of the one that holds a transaction;
+  // one that it knows and cannot reach has taken the transaction with it.
+  const bool holder_unknown = refusal == refusal_type::kNoExecutor &&
+                              !host_.IsKnown(item.work.transaction.executor);
+  const bool may_repeat = !IsPinned(item.work) || holder_unknown;
+  const bool has_time = now + settings_.first_delay < item.work.deadline;
+  if (!IsRetryable(refusal) || !may_repeat || !has_time ||
+      parked_ >= settings_.parked) {
+    return false;
+  }
+  // Waiting for a change of primary is bounded by the number parked; other
+  // retries by the budget.
+  const bool waits_for_primary = refusal == refusal_type::kNoPrimary ||
+                                 refusal == refusal_type::kSuperseded;
+  return waits_for_primary || budget_.TryTake();
+}
+
 void request_router::OnRefusal(std::uint64_t handle,
                                request& item,
                                const core::statement_outcome& outcome,
@@ -290,21 +310,7 @@
     Route(handle, item, now);
     return;
   }
-  // A new instance may not have heard yet of the one that holds a transaction;
-  // one that it knows and cannot reach has taken the transaction with it.
-  const bool holder_unknown = outcome.refusal == refusal_type::kNoExecutor &&
-                              !host_.IsKnown(item.work.transaction.executor);
-  const bool may_repeat = !IsPinned(item.work) || holder_unknown;
-  const bool retry = IsRetryable(outcome.refusal) && may_repeat &&
-                     now + settings_.first_delay < item.work.deadline &&
-                     parked_ < settings_.parked;
-  if (!retry) {
-    Answer(handle, outcome);
-    return;
-  }
-  const bool waits_for_primary = outcome.refusal == refusal_type::kNoPrimary ||
-                                 outcome.refusal == refusal_type::kSuperseded;
-  if (!waits_for_primary && !budget_.TryTake()) {
+  if (!MayRetryLater(item, outcome.refusal, now)) {
     Answer(handle, outcome);
     return;
   }
--- a/plantaintiller/decisions/request_router.h
+++ b/plantaintiller/decisions/request_router.h
@@ -126,6 +126,10 @@
                  request& item,
                  const core::statement_outcome& outcome,
                  core::time_point now);
+  /// Whether a refused request, of which nothing ran, waits for another try.
+  bool MayRetryLater(const request& item,
+                     core::refusal_type refusal,
+                     core::time_point now);
   static bool IsRetryable(core::refusal_type type);
   static bool IsPinned(const core::statement& work);
   static replica_success::read_kind KindOf(const core::statement& work);
