--- /dev/null
+++ b/tests/cli/interview_test.cpp
@@ -0,0 +1,47 @@
+#include "plantaintiller/cli/interview.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace plantaintiller::cli {
+
+TEST_CASE("interview: defaults, explanations and going back") {
+  std::istringstream in(
+      "first\n"  // What is the system called?
+      "<\n"      // Back from the zones to the name.
+      "second\n"
+      "?\n"  // Explains the zones.
+      "north south\n"
+      "\n"      // Stale reads: yes.
+      "many\n"  // Not a number of databases.
+      "1\n"
+      "keys\n"
+      "issue\n"
+      "\n"      // 16 connections.
+      "2000\n"  // Stale reads, in ms.
+      "\n"      // 2 slots.
+      "\n\n7001\n"
+      "\n\n7002\n");
+  std::ostringstream out;
+  const auto given = interview(in, out).Ask();
+  REQUIRE(given.has_value());
+  CHECK(given->deployment == "second");
+  CHECK(given->zones == std::vector<std::string>{"north", "south"});
+  REQUIRE(given->databases.size() == 1);
+  CHECK(given->databases[0].connections == 16);
+  CHECK(given->databases[0].stale_reads_ms == 2000);
+  REQUIRE(given->databases[0].servers.size() == 2);
+  CHECK(given->databases[0].servers[1].zone == "south");
+  CHECK(given->databases[0].servers[1].port == 7002);
+  CHECK(out.str().find("Names, with spaces.") != std::string::npos);
+  CHECK(out.str().find("a whole number, please") != std::string::npos);
+}
+
+TEST_CASE("interview: input that ends early is an error") {
+  std::istringstream in("only-a-name\n");
+  std::ostringstream out;
+  CHECK_FALSE(interview(in, out).Ask().has_value());
+}
+
+}  // namespace plantaintiller::cli
