Bad-input test names a transaction in its new form

Cause: a transaction's name has three parts since it carries its process; the test of an unknown verb still used two, and met transaction_unknown first.

--- a/tests/processes/test_bad_input.py
+++ b/tests/processes/test_bad_input.py
@@ -72,7 +72,7 @@
         self.assertEqual(places, sorted(places))
 
     def test_wrong_paths_and_methods(self):
-        for target in ("/", "/v1/statements/x", "/v1/transactions/1-2/fly"):
+        for target in ("/", "/v1/statements/x", "/v1/transactions/1-2-3/fly"):
             status, answer = self.system.post(1, target, {})
             self.assertEqual((status, answer["error"]["type"]),
                              (400, "bad_request"))
