A read that fails at a replica is tried elsewhere

Cause: a replica that lags may lack the very table that the session has made; its error was given out as the answer. Ruled out: the token's check, which looks at good answers only. Change: such a read goes on to another replica or the primary, whose error counts. A connection refused for being too many no longer counts as a sign of life from the server.

--- a/plantaintiller/decisions/statement_executor.cpp
+++ b/plantaintiller/decisions/statement_executor.cpp
@@ -274,7 +274,8 @@
   const core::backend_server_id server = result.server;
   const bool lost = result.status == attempt_status::kConnectionLost ||
                     result.status == attempt_status::kNotSent;
-  if (!lost) {
+  const bool refused = result.status == attempt_status::kTooManyConnections;
+  if (!lost && !refused) {
     keeper.OnState(item->slot, result.state, item->started, now);
   }
   if (item->kind == attempt_kind::kBegin) {
@@ -296,7 +297,6 @@
       }
     }
   }
-  const bool refused = result.status == attempt_status::kTooManyConnections;
   if (refused && item->pooled) {
     PoolOf(server)->Pause(item->connection, now + settings_.connection_pause);
   }
@@ -373,6 +373,16 @@
              now);
       return true;
     case attempt_status::kStatementFailed: {
+      const bool at_replica = item.kind == attempt_kind::kRead &&
+                              item.slot != keeper.Record().primary;
+      if (at_replica) {
+        // It may only lack what the statement is about.
+        Finish(handle,
+               Refuse(refusal_type::kNoEligibleServer,
+                      effect_state::kOutcomeUnknown, kRetryLater),
+               now);
+        return true;
+      }
       core::statement_outcome failed = Describe(item);
       failed.refusal = refusal_type::kStatementFailed;
       failed.effect = effect_state::kRolledBack;
--- a/tests/decisions/instance_decider_test.cpp
+++ b/tests/decisions/instance_decider_test.cpp
@@ -113,6 +113,37 @@
   CHECK(second.actions.attempts.size() == attempts + 1);
 }
 
+// A replica that lags may lack the very table that the session has just made.
+TEST_CASE(
+    "instance_decider: a read that fails at a replica goes to the primary") {
+  one_process process(1);
+  process.Configure();
+  core::statement read = process.Work(statement_kind::kRun);
+  read.access = core::access_kind::kRead;
+  read.max_staleness = milliseconds(1000);
+  process.decider->OnCallerStatement(1, read, process.now);
+  REQUIRE(process.actions.attempts.size() == 1);
+  const attempt at_replica = process.actions.attempts.back();
+  REQUIRE(at_replica.server.slot == 1);
+  attempt_result failed;
+  failed.id = at_replica.id;
+  failed.server = at_replica.server;
+  failed.status = attempt_status::kStatementFailed;
+  failed.state = {1, {1, 1}, false};
+  process.decider->OnAttemptResult(failed, process.now);
+  CHECK(process.actions.answers.empty());
+  REQUIRE(process.actions.attempts.size() == 2);
+  const attempt at_primary = process.actions.attempts.back();
+  CHECK(at_primary.server.slot == 0);
+  failed.id = at_primary.id;
+  failed.server = at_primary.server;
+  failed.state = {1, {1, 1}, true};
+  process.decider->OnAttemptResult(failed, process.now);
+  REQUIRE(process.actions.answers.size() == 1);
+  CHECK(process.actions.answers[0].outcome.refusal ==
+        refusal_type::kStatementFailed);
+}
+
 TEST_CASE("instance_decider: draining refuses new work, not commits") {
   one_process process(1);
   process.Configure();
