--- a/plantaintiller/backends/connection.cpp
+++ b/plantaintiller/backends/connection.cpp
@@ -84,7 +84,6 @@
     steps_ = std::move(steps);
     done_ = std::move(done);
     result_ = {};
-    sent_ = false;
     if (handle_ != nullptr) {
       SendBatch();
       return;
@@ -162,7 +161,6 @@
   }
 
   void SendBatch() {
-    sent_ = true;
     for (const batch_step& step : steps_) {
       std::vector<const char*> values;
       values.reserve(step.params.size());
@@ -296,7 +294,6 @@
   // Waits of a dropped connection are recognised by their generation.
   std::uint64_t generation_ = 0;
   int empty_in_a_row_ = 0;
-  bool sent_ = false;
   std::vector<batch_step> steps_;
   batch_done done_;
   batch_result result_;
--- a/plantaintiller/cli/config_commands.cpp
+++ b/plantaintiller/cli/config_commands.cpp
@@ -11,13 +11,6 @@
 
 namespace {
 
-option PlatformOption() {
-  return {"platform", option_kind::kAddress,
-          "",         "Address of the platform's service.",
-          true,       0,
-          0};
-}
-
 core::result<int> PublishFile(const option_values& values) {
   BOOST_LEAF_AUTO(text, ReadFile(values.Text("file")));
   BOOST_LEAF_AUTO(json, config::ParseJson(text));
--- a/plantaintiller/cli/history_commands.cpp
+++ b/plantaintiller/cli/history_commands.cpp
@@ -12,13 +12,6 @@
 
 namespace {
 
-option PlatformOption() {
-  return {"platform", option_kind::kAddress,
-          "",         "Address of the platform's service.",
-          true,       0,
-          0};
-}
-
 void PrintVersion(std::uint64_t version,
                   const std::optional<core::configuration>& before,
                   const std::optional<core::configuration>& kept) {
--- a/plantaintiller/cli/published_configuration.cpp
+++ b/plantaintiller/cli/published_configuration.cpp
@@ -61,6 +61,13 @@
 
 }  // namespace
 
+option PlatformOption() {
+  return {"platform", option_kind::kAddress,
+          "",         "Address of the platform's service.",
+          true,       0,
+          0};
+}
+
 core::result<std::string> ReadFile(const std::string& path) {
   const std::ifstream file(path);
   if (!file) {
--- a/plantaintiller/cli/published_configuration.h
+++ b/plantaintiller/cli/published_configuration.h
@@ -10,6 +10,9 @@
 
 namespace plantaintiller::cli {
 
+/// The required `--platform` of commands that change or show what is published.
+option PlatformOption();
+
 /// Reads a whole file. @return kNotFound if it cannot be read.
 core::result<std::string> ReadFile(const std::string& path);
 
--- a/plantaintiller/core/group_record.h
+++ b/plantaintiller/core/group_record.h
@@ -22,7 +22,8 @@
   server_set promotable;
   /// Row version given by the platform; 0 for a row that does not exist.
   std::uint64_t version = 0;
-  /// Drawn anew for each write, so that its writer recognises it on read-back.
+  /// Drawn anew for each write: tells two proposals of the same content apart.
+  /// The keeper adopts whatever the row holds and does not compare it.
   std::uint64_t nonce = 0;
   friend bool operator==(const group_record&, const group_record&) = default;
 };
--- a/plantaintiller/core/statement.h
+++ b/plantaintiller/core/statement.h
@@ -33,6 +33,12 @@
   kRollback,
 };
 
+/// Whether a statement belongs to a transaction that is open already.
+inline bool IsInsideTransaction(statement_kind kind) {
+  return kind == statement_kind::kInTransaction ||
+         kind == statement_kind::kCommit || kind == statement_kind::kRollback;
+}
+
 /// Text and parameters of a statement; the decisions never look inside.
 struct statement_body {
   std::string sql;
--- a/plantaintiller/decisions/group_keeper.cpp
+++ b/plantaintiller/decisions/group_keeper.cpp
@@ -47,9 +47,8 @@
   platform_busy_ = false;
   failures_ = 0;
   row_wanted_ = false;
-  // Whatever the row holds settles a proposal of unknown fate: its nonce is
-  // there, or it is not, and a late effect would be refused by the version.
-  proposed_.reset();
+  // Whatever the row holds settles a proposal of unknown fate: it is there, or
+  // a late effect would be refused by the version.
   if (record.has_value()) {
     Adopt(*record);
   } else {
@@ -71,7 +70,6 @@
     case swap_status::kApplied:
     case swap_status::kConflict:
       failures_ = 0;
-      proposed_.reset();
       if (current.has_value()) {
         Adopt(*current);
       } else {
@@ -79,7 +77,6 @@
       }
       return;
     case swap_status::kUnavailable:
-      proposed_.reset();
       break;
     case swap_status::kUnknown:
       row_wanted_ = true;
@@ -246,7 +243,6 @@
                            core::slot_number about,
                            core::time_point now) {
   record.nonce = random_();
-  proposed_ = record;
   platform_busy_ = true;
   next_access_ = now + settings_.retry_delay;
   actions_.NoteDecision(
--- a/plantaintiller/decisions/group_keeper.h
+++ b/plantaintiller/decisions/group_keeper.h
@@ -132,8 +132,6 @@
   bool platform_busy_ = false;
   int failures_ = 0;
   core::time_point next_access_;
-  // Record that was proposed and whose fate is not known.
-  std::optional<core::group_record> proposed_;
   std::uint64_t needed_offset_ = 0;
 };
 
--- a/plantaintiller/decisions/instance_decider.cpp
+++ b/plantaintiller/decisions/instance_decider.cpp
@@ -40,10 +40,7 @@
 void instance_decider::OnCallerStatement(std::uint64_t ticket,
                                          const core::statement& work,
                                          core::time_point now) {
-  const bool goes_on = work.kind == core::statement_kind::kInTransaction ||
-                       work.kind == core::statement_kind::kCommit ||
-                       work.kind == core::statement_kind::kRollback;
-  if (draining_ && !goes_on) {
+  if (draining_ && !core::IsInsideTransaction(work.kind)) {
     actions_.AnswerCaller(ticket, RefuseUnstarted(refusal_type::kShuttingDown,
                                                   work, kRetryElsewhere));
     return;
--- a/plantaintiller/decisions/membership.cpp
+++ b/plantaintiller/decisions/membership.cpp
@@ -87,9 +87,4 @@
   return found != peers_.end() && found->second.live;
 }
 
-core::zone_id membership::ZoneOf(core::instance_id peer) const {
-  const auto found = peers_.find(peer);
-  return found == peers_.end() ? zone_ : found->second.zone;
-}
-
 }  // namespace plantaintiller::decisions
--- a/plantaintiller/decisions/membership.h
+++ b/plantaintiller/decisions/membership.h
@@ -54,7 +54,6 @@
   bool IsReachable(core::instance_id peer) const;
   /// Whether a peer has ever been listed.
   bool IsKnown(core::instance_id peer) const { return peers_.contains(peer); }
-  core::zone_id ZoneOf(core::instance_id peer) const;
 
  private:
   struct peer {
--- a/plantaintiller/decisions/request_router.cpp
+++ b/plantaintiller/decisions/request_router.cpp
@@ -28,9 +28,7 @@
       requests_(settings.capacity) {}
 
 bool request_router::IsPinned(const core::statement& work) {
-  return work.kind == statement_kind::kInTransaction ||
-         work.kind == statement_kind::kCommit ||
-         work.kind == statement_kind::kRollback;
+  return core::IsInsideTransaction(work.kind);
 }
 
 bool request_router::IsRetryable(refusal_type type) {
--- a/plantaintiller/decisions/statement_executor.cpp
+++ b/plantaintiller/decisions/statement_executor.cpp
@@ -121,9 +121,7 @@
   item.slot = slot;
   item.kind = AttemptFor(work);
   item.started = now;
-  if (work.kind == statement_kind::kInTransaction ||
-      work.kind == statement_kind::kCommit ||
-      work.kind == statement_kind::kRollback) {
+  if (core::IsInsideTransaction(work.kind)) {
     SubmitInTransaction(std::move(item), now);
     return;
   }
--- a/plantaintiller/instances/messages.h
+++ b/plantaintiller/instances/messages.h
@@ -36,15 +36,13 @@
 struct offer_command {
   std::shared_ptr<const core::configuration> configuration;
 };
-struct stop_command {};
 using command = std::variant<forward_command,
                              reply_command,
                              heartbeat_command,
                              pull_command,
                              peers_command,
                              drop_peer_command,
-                             offer_command,
-                             stop_command>;
+                             offer_command>;
 /// @}
 
 /// @name Events for the decisions
--- a/plantaintiller/instances/peer_loop.cpp
+++ b/plantaintiller/instances/peer_loop.cpp
@@ -255,8 +255,6 @@
 
   void Do(const offer_command& given) { server_->Offer(*given.configuration); }
 
-  void Do(const stop_command&) { stop_->fulfill(); }
-
   void OnConfiguration(const std::string& json) {
     boost::leaf::try_handle_all(
         [&]() -> core::result<void> {
