--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -18,6 +18,8 @@
 /// Pause after a failed connection, doubled likewise.
 constexpr core::milliseconds kLostPause{60};
 constexpr int kMaxDoublings = 3;
+/// Connections opened to one server at a time: each takes a slot there.
+constexpr int kMaxOpening = 2;
 /// Idle time after which a connection beyond the first is closed: long against
 /// the pauses of one caller, short against a change of load.
 constexpr core::milliseconds kIdleLimit{4000};
@@ -154,7 +156,7 @@
       continue;
     }
     server_links& links = servers_[id];
-    while (links.opening < count &&
+    while (links.opening < std::min(count, kMaxOpening) &&
            static_cast<int>(links.all.size()) < limit_) {
       if (links.open_again > now) {
         soonest = std::min(soonest, links.open_again);
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -425,7 +425,7 @@
   if (current_writes_ || IsCommit()) {
     host_.OnWriteOutcome(route_->group, server_, true);
   }
-  if (reply.succeeded && reply.receipt == "-") {
+  if (reply.succeeded && (reply.receipt.empty() || reply.receipt == "-")) {
     // Not the answer to this statement: an answer before it was lost.
     OnLost();
     return;
