--- a/plantaintiller/gateway/caller_connection.cpp
+++ b/plantaintiller/gateway/caller_connection.cpp
@@ -59,10 +59,9 @@
                    const std::string& server) override {
     environment_.OnNotLeader(group, server);
   }
-  void OnWriteOutcome(const std::string& group,
-                      const std::string& server,
-                      bool answered) override {
-    environment_.OnWriteOutcome(group, server, answered);
+  void OnServerTrouble(const std::string& group,
+                       const std::string& server) override {
+    environment_.OnStatementTrouble(group, server);
   }
   void Note(const sessions::request_note& note) override;
   void Count(const core::route* route,
--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -124,7 +124,9 @@
 server_link* connection_pool::FindIdle(const sessions::connection_need& need,
                                        std::map<std::string, int>& wanted) {
   std::vector<std::string> order;
-  if (!need.leader) {
+  if (!need.server.empty()) {
+    order.push_back(need.server);
+  } else if (!need.leader) {
     order = group_.ReadOrder(need.excluded, core::clock::now());
   } else if (!group_.Leader().empty()) {
     order.push_back(group_.Leader());
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
 #include <csignal>
 #include <map>
 #include <set>
@@ -15,6 +16,9 @@
 #include "plantaintiller/gateway/caller_connection.h"
 #include "plantaintiller/gateway/connection_pool.h"
 #include "plantaintiller/gateway/event_log.h"
+#include "plantaintiller/gateway/instance_registry.h"
+#include "plantaintiller/gateway/leader_keeper.h"
+#include "plantaintiller/gateway/peer_exchange.h"
 #include "plantaintiller/gateway/statement_metrics.h"
 #include "plantaintiller/gateway/store_watch.h"
 #include "plantaintiller/http/server.h"
@@ -35,6 +39,12 @@
 /// Part of the grace after which what is left is cut off.
 constexpr double kLastCall = 0.9;
 
+constexpr int kBacklog = 1024;
+/// How long a change of leader is told: two heartbeats.
+constexpr core::milliseconds kLeaderNews{4000};
+/// Most leaders told in one heartbeat, to fit a datagram.
+constexpr std::size_t kMaxLeaderNews = 8;
+
 /// A database group with the connections to its servers.
 struct group_entry {
   group_entry(asio::io_context& context,
@@ -51,6 +61,8 @@
 class gateway::implementation : public caller_environment,
                                 public connection_pool::listener,
                                 public store_watch_listener,
+                                public peer_listener,
+                                public leader_keeper_listener,
                                 public http::handler {
  public:
   implementation(asio::io_context& context,
@@ -64,7 +76,14 @@
         signals_(context, SIGTERM, SIGINT),
         reload_(context, SIGHUP),
         stop_timer_(context),
-        watch_(context, peers.rows, peers.directory, log_, *this) {}
+        watch_(context, peers.rows, peers.directory, log_, *this),
+        exchange_(context, settings, log_, *this),
+        registry_(context, settings, peers.rows, exchange_),
+        keeper_(context,
+                settings,
+                {peers.servers, peers.status, peers.rows, peers.promotions,
+                 log_},
+                *this) {}
 
   int Run();
 
@@ -87,9 +106,8 @@
   statement_metrics& Metrics() override { return metrics_; }
   void OnNotLeader(const std::string& group,
                    const std::string& server) override;
-  void OnWriteOutcome(const std::string& group,
-                      const std::string& server,
-                      bool answered) override;
+  void OnStatementTrouble(const std::string& group,
+                          const std::string& server) override;
   void OnCallerClosed(caller_connection& caller) override;
 
   // connection_pool::listener
@@ -103,6 +121,20 @@
   void OnServers(std::vector<replication::server_entry> servers,
                  store::row_version version) override;
 
+  // peer_listener
+  instance_view View() const override;
+  remote_state StateAfter(std::uint64_t configuration_version,
+                          std::uint64_t list_version) const override;
+  void OnPeerLeader(const std::string& instance,
+                    const leader_belief& belief) override;
+  void OnPeerLacksConnection(const std::string& group,
+                             const std::string& server) override;
+  void OnRemoteState(const remote_state& state) override;
+  bool WantsList() const override { return watch_.IsLost(); }
+
+  // leader_keeper_listener
+  void OnLeaderChange(const std::string& group) override;
+
   // http::handler
   void Handle(const http::request& asked, http::responder respond) override;
 
@@ -121,6 +153,9 @@
   }
   group_entry& EnsureGroup(const std::string& name);
   std::map<std::string, replication::distance> Distances() const;
+  void ApplyServers(const std::vector<replication::server_entry>& servers,
+                    store::row_version version);
+  http::response OperatorAnswer(const std::string& target);
   void Listen();
   void Accept();
   void Stop(int signal);
@@ -145,7 +180,17 @@
   asio::steady_timer stop_timer_;
   bool stopping_ = false;
   bool leaving_ = false;
+  std::string routes_text_;
+  std::vector<replication::server_entry> servers_;
+  store::row_version list_version_ = 0;
+  /// When each group's leader changed last.
+  std::map<std::string, core::time_point> leader_news_;
   store_watch watch_;
+  peer_exchange exchange_;
+  instance_registry registry_;
+  leader_keeper keeper_;
+  std::unique_ptr<http::server> operators_;
+  std::unique_ptr<http::server> metrics_server_;
 };
 
 int gateway::implementation::Run() {
@@ -161,7 +206,9 @@
       Stop(signal);
     }
   });
+  exchange_.Start();
   watch_.Start();
+  registry_.Start();
   context_.run();
   log_line(log_, "instance", "stop").With("instance", settings_.instance);
   return 0;
@@ -173,8 +220,21 @@
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(endpoint);
-  acceptor_.listen(1024);
+  acceptor_.listen(kBacklog);
   Accept();
+  if (settings_.operators.port != 0) {
+    http::server_settings operators = ReadinessSettings(settings_);
+    operators.host = settings_.operators.host;
+    operators.port = settings_.operators.port;
+    operators_ = std::make_unique<http::server>(context_, operators, *this);
+    operators_->Listen();
+  }
+  if (settings_.metrics_port != 0) {
+    http::server_settings metrics = ReadinessSettings(settings_);
+    metrics.port = settings_.metrics_port;
+    metrics_server_ = std::make_unique<http::server>(context_, metrics, *this);
+    metrics_server_->Listen();
+  }
 }
 
 void gateway::implementation::Accept() {
@@ -264,13 +324,18 @@
 void gateway::implementation::FinishStop() {
   stop_timer_.cancel();
   watch_.Stop();
+  exchange_.Stop();
+  registry_.Stop();
+  keeper_.Stop();
   context_.stop();
 }
 
 group_entry& gateway::implementation::EnsureGroup(const std::string& name) {
   std::unique_ptr<group_entry>& entry = groups_[name];
   if (entry == nullptr) {
-    entry = std::make_unique<group_entry>(context_, peers_.servers, name, *this);
+    entry =
+        std::make_unique<group_entry>(context_, peers_.servers, name, *this);
+    keeper_.Add(entry->state, entry->pool);
   }
   return *entry;
 }
@@ -299,6 +364,8 @@
       .With("routes", static_cast<std::int64_t>(routes.routes.size()))
       .With("bytes", static_cast<std::int64_t>(text.size()));
   routes_ = std::move(routes);
+  routes_text_ = text;
+  exchange_.Announce();
   for (const auto& [name, group] : routes_.groups) {
     EnsureGroup(name).pool.SetLimit(group.max_connections);
   }
@@ -307,6 +374,14 @@
 void gateway::implementation::OnServers(
     std::vector<replication::server_entry> servers,
     store::row_version version) {
+  servers_ = std::move(servers);
+  list_version_ = std::max(list_version_, version);
+  ApplyServers(servers_, version);
+}
+
+void gateway::implementation::ApplyServers(
+    const std::vector<replication::server_entry>& servers,
+    store::row_version version) {
   const auto distances = Distances();
   for (const replication::server_entry& each : servers) {
     EnsureGroup(each.group);
@@ -323,10 +398,102 @@
           .With("store_version", static_cast<std::int64_t>(version));
     }
     group->pool.OnGroupChanged();
+    keeper_.Evaluate(name);
   }
   servers_known_ = true;
 }
 
+instance_view gateway::implementation::View() const {
+  instance_view view;
+  view.configuration_version = routes_.version;
+  view.list_version = list_version_;
+  view.leaving = stopping_;
+  const core::time_point now = core::clock::now();
+  for (const auto& [name, group] : groups_) {
+    const auto news = leader_news_.find(name);
+    const bool fresh =
+        news != leader_news_.end() && now - news->second < kLeaderNews;
+    const bool changing = keeper_.IsChanging(name);
+    if ((fresh || changing) && view.leaders.size() < kMaxLeaderNews) {
+      view.leaders.push_back({name, group->state.Leader(),
+                              group->state.LeaderTerm(), changing});
+    }
+  }
+  return view;
+}
+
+remote_state gateway::implementation::StateAfter(
+    std::uint64_t configuration_version,
+    std::uint64_t list_version) const {
+  remote_state state;
+  if (routes_.version > configuration_version) {
+    state.configuration = routes_text_;
+  }
+  if (list_version_ > list_version) {
+    state.list_version = list_version_;
+    state.servers = servers_;
+  }
+  return state;
+}
+
+void gateway::implementation::OnPeerLeader(const std::string& instance,
+                                           const leader_belief& belief) {
+  const auto found = groups_.find(belief.group);
+  if (found == groups_.end()) {
+    return;
+  }
+  if (belief.changing) {
+    keeper_.OnOtherChanging(belief.group);
+    return;
+  }
+  replication::group_state& group = found->second->state;
+  const bool news = belief.term > group.LeaderTerm() &&
+                    group.Find(belief.server) != nullptr;
+  if (!news) {
+    return;
+  }
+  group.OnLeaderSeen(belief.server, belief.term, core::clock::now());
+  log_line(log_, "groups", "leader")
+      .With("group", belief.group)
+      .With("server", belief.server)
+      .With("term", static_cast<std::int64_t>(belief.term))
+      .With("told_by", instance);
+  OnLeaderChange(belief.group);
+}
+
+void gateway::implementation::OnPeerLacksConnection(const std::string& group,
+                                                    const std::string& server) {
+  connection_pool* pool = Pool(group);
+  if (pool != nullptr && pool->GiveWay(server)) {
+    metrics_.Count("connections_given_up");
+    log_line(log_, "pool", "gave_way")
+        .With("group", group)
+        .With("server", server);
+  }
+}
+
+void gateway::implementation::OnRemoteState(const remote_state& state) {
+  if (!state.configuration.empty()) {
+    if (auto routes = peers_.directory.DecodeRoutes(state.configuration)) {
+      OnRoutes(state.configuration, std::move(*routes));
+    }
+  }
+  if (!state.servers.empty() && state.list_version > list_version_ &&
+      watch_.IsLost()) {
+    log_line(log_, "store", "list_from_peer")
+        .With("store_version", static_cast<std::int64_t>(state.list_version));
+    OnServers(state.servers, state.list_version);
+  }
+}
+
+void gateway::implementation::OnLeaderChange(const std::string& group) {
+  leader_news_[group] = core::clock::now();
+  if (connection_pool* pool = Pool(group)) {
+    pool->OnGroupChanged();
+  }
+  exchange_.Announce();
+}
+
 void gateway::implementation::OnNotLeader(const std::string& group,
                                           const std::string& server) {
   metrics_.Count("not_leader");
@@ -336,12 +503,13 @@
   watch_.ReadServersSoon();
 }
 
-void gateway::implementation::OnWriteOutcome(const std::string& /*group*/,
-                                             const std::string& /*server*/,
-                                             bool answered) {
-  if (!answered) {
-    metrics_.Count("write_timeouts");
-  }
+void gateway::implementation::OnStatementTrouble(const std::string& group,
+                                                 const std::string& server) {
+  metrics_.Count("server_trouble");
+  log_line(log_, "groups", "trouble")
+      .With("group", group)
+      .With("server", server);
+  keeper_.Evaluate(group);
 }
 
 void gateway::implementation::OnServerFull(const std::string& group,
@@ -350,26 +518,82 @@
   log_line(log_, "pool", "server_full")
       .With("group", group)
       .With("server", server);
+  exchange_.AskForConnection(group, server);
 }
 
 void gateway::implementation::OnServerTrouble(const std::string& group,
                                               const std::string& server) {
   if (replication::group_state* state = Group(group)) {
-    state->OnTrouble(server, core::clock::now());
+    const core::time_point now = core::clock::now();
+    state->OnTrouble(server, now, now);
+    keeper_.Evaluate(group);
   }
   log_line(log_, "pool", "open_failed")
       .With("group", group)
       .With("server", server);
 }
 
-void gateway::implementation::Handle(const http::request& /*asked*/,
+void gateway::implementation::Handle(const http::request& asked,
                                      http::responder respond) {
+  if (asked.target == "/metrics" || asked.target.starts_with("/v1/")) {
+    respond(OperatorAnswer(asked.target));
+    return;
+  }
   http::response answer;
   answer.status = IsReady() ? 200 : 503;
   answer.content_type = "text/plain";
   respond(std::move(answer));
 }
 
+http::response gateway::implementation::OperatorAnswer(
+    const std::string& target) {
+  http::response answer;
+  if (target == "/metrics" || target == "/v1/metrics") {
+    metrics_.Set("callers", callers_.size());
+    metrics_.Set("configuration_version", routes_.version);
+    metrics_.Set("live_peers", exchange_.LivePeers());
+    metrics_.Set("log_lines_dropped", log_.Dropped());
+    answer.content_type = "text/plain";
+    answer.body = metrics_.Text();
+    return answer;
+  }
+  if (target == "/v1/status") {
+    answer.body = boost::json::serialize(boost::json::object{
+        {"instance", settings_.instance},
+        {"zone", settings_.zone},
+        {"ready", IsReady()},
+        {"stopping", stopping_},
+        {"store_lost", watch_.IsLost()},
+        {"configuration_version", routes_.version},
+        {"live_peers", exchange_.LivePeers()},
+        {"callers", callers_.size()}});
+    return answer;
+  }
+  if (target == "/v1/routing") {
+    boost::json::array groups;
+    for (const auto& [name, group] : groups_) {
+      boost::json::array servers;
+      for (const auto& [id, each] : group->state.Servers()) {
+        servers.push_back({{"server", id},
+                           {"address", each.entry.address},
+                           {"zone", each.entry.zone},
+                           {"draining", each.entry.draining},
+                           {"running", each.running}});
+      }
+      groups.push_back({{"group", name},
+                        {"leader", group->state.Leader()},
+                        {"term", group->state.LeaderTerm()},
+                        {"waiting", group->pool.Waiting()},
+                        {"servers", std::move(servers)}});
+    }
+    answer.body = boost::json::serialize(groups);
+    return answer;
+  }
+  answer.status = 404;
+  answer.body = R"({"error":{"type":"not_found"}})";
+  return answer;
+}
+
 gateway::gateway(asio::io_context& context,
                  const gateway_settings& settings,
                  const gateway_peers& peers)
--- a/plantaintiller/gateway/gateway_settings.h
+++ b/plantaintiller/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
   endpoint callers;
   endpoint readiness;
   endpoint operators;
+  /// Port of the metrics on the operators' host; 0 for none.
+  std::uint16_t metrics_port = 9464;
   /// Port for heartbeats and transfers between instances, the same at all.
   endpoint peers;
   /// Hosts of instances that may be alive.
--- /dev/null
+++ b/plantaintiller/gateway/instance_registry.cpp
@@ -0,0 +1,75 @@
+#include "plantaintiller/gateway/instance_registry.h"
+
+namespace plantaintiller::gateway {
+
+namespace {
+
+constexpr const char* kTable = "instances";
+/// Pause after a failed call; nothing waits for the registry.
+constexpr core::milliseconds kRetryPause{1500};
+
+}  // namespace
+
+instance_registry::instance_registry(boost::asio::io_context& context,
+                                     const gateway_settings& settings,
+                                     store::row_store& rows,
+                                     peer_exchange& peers)
+    : settings_(settings), rows_(rows), peers_(peers), timer_(context) {}
+
+void instance_registry::Start() {
+  Enter();
+}
+
+void instance_registry::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void instance_registry::Enter() {
+  store::row row;
+  row.table = kTable;
+  row.key = settings_.instance;
+  row.value = settings_.zone + " " + settings_.peers.host;
+  store::row_transaction change;
+  change.writes.push_back(std::move(row));
+  rows_.Commit(change, [this](const store::rows_answer& answer) {
+    if (answer.status == store::call_status::kDone) {
+      Read("");
+    } else {
+      Again();
+    }
+  });
+}
+
+void instance_registry::Read(const std::string& from) {
+  rows_.Read(kTable, "", from, [this](const store::rows_answer& answer) {
+    if (answer.status != store::call_status::kDone) {
+      Again();
+      return;
+    }
+    for (const store::row& each : answer.rows) {
+      const std::size_t blank = each.value.find(' ');
+      if (blank != std::string::npos) {
+        peers_.Introduce(each.key, each.value.substr(0, blank),
+                         each.value.substr(blank + 1));
+      }
+    }
+    if (answer.truncated && !answer.rows.empty()) {
+      Read(answer.rows.back().key + "%01");
+    }
+  });
+}
+
+void instance_registry::Again() {
+  if (stopped_) {
+    return;
+  }
+  timer_.expires_after(kRetryPause);
+  timer_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled) {
+      Enter();
+    }
+  });
+}
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/leader_keeper.cpp
@@ -0,0 +1,369 @@
+#include "plantaintiller/gateway/leader_keeper.h"
+
+#include <xxhash.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <random>
+#include <utility>
+
+#include "plantaintiller/gateway/claim_codec.h"
+#include "plantaintiller/gateway/server_question.h"
+
+namespace plantaintiller::gateway {
+
+namespace {
+
+using boost::system::error_code;
+
+/// Longest wait for a server's answer to an order: a new connection and a round
+/// trip between regions.
+constexpr core::milliseconds kOrderLimit{250};
+/// Pause between questions to a suspected leader.
+constexpr core::milliseconds kProbePause{120};
+/// Instances start a change one after another, spread over this time by a hash
+/// of their names, so that mostly one claims: a claim takes two calls.
+constexpr core::milliseconds kStartSpread{240};
+/// How long a change that another instance announced is waited for.
+constexpr core::milliseconds kOtherChange{2500};
+/// Pause after a change that was given up.
+constexpr core::milliseconds kRestartPause{400};
+
+struct watched_group {
+  watched_group(boost::asio::io_context& context,
+                replication::group_state& state,
+                connection_pool& connections,
+                replication::change_host& host,
+                const replication::change_settings& settings)
+      : group(state),
+        pool(connections),
+        change(host, state, settings),
+        change_timer(context),
+        start_timer(context),
+        probe_timer(context) {}
+
+  replication::group_state& group;
+  connection_pool& pool;
+  replication::primary_change change;
+  boost::asio::steady_timer change_timer;
+  boost::asio::steady_timer start_timer;
+  boost::asio::steady_timer probe_timer;
+  bool start_armed = false;
+  bool probing = false;
+  core::time_point not_before;
+};
+
+}  // namespace
+
+class leader_keeper::implementation
+    : public replication::change_host,
+      public std::enable_shared_from_this<leader_keeper::implementation> {
+ public:
+  implementation(boost::asio::io_context& context,
+                 const gateway_settings& settings,
+                 const leader_keeper_peers& peers,
+                 leader_keeper_listener& listener)
+      : context_(context),
+        peers_(peers),
+        listener_(listener),
+        watch_(watch_settings_),
+        random_(std::random_device()()) {
+    // A holder that was restarted is another holder.
+    change_settings_.holder =
+        settings.instance + "-" + std::to_string(random_() % 1000000);
+  }
+
+  void Add(replication::group_state& group, connection_pool& pool) {
+    groups_.emplace(group.Name(),
+                    std::make_unique<watched_group>(context_, group, pool,
+                                                    *this, change_settings_));
+  }
+  void Evaluate(const std::string& name);
+  void OnOtherChanging(const std::string& name);
+  bool IsChanging(const std::string& name) const {
+    const auto found = groups_.find(name);
+    return found != groups_.end() && found->second->change.IsActive();
+  }
+  void Stop() {
+    stopped_ = true;
+    for (auto& [name, each] : groups_) {
+      each->change_timer.cancel();
+      each->start_timer.cancel();
+      each->probe_timer.cancel();
+    }
+  }
+
+  // replication::change_host
+  core::time_point Now() const override { return core::clock::now(); }
+  void ReadClaim(
+      const std::string& group,
+      std::function<void(std::optional<replication::group_claim>,
+                         core::milliseconds)> done) override;
+  void WriteClaim(const std::string& group,
+                  const replication::group_claim& claim,
+                  std::function<void(store::call_status)> done) override;
+  void Order(const std::string& group,
+             const std::string& server,
+             replication::server_order order,
+             core::term_number term,
+             std::function<void(std::optional<sessions::server_status>)> done)
+      override;
+  void Promote(const std::string& group,
+               const std::string& server,
+               std::uint64_t token,
+               std::function<void(store::promotion_status)> done) override {
+    peers_.promotions.Promote(group, server, change_settings_.holder, token,
+                              std::move(done));
+  }
+  void SetTimer(const std::string& group, core::milliseconds pause) override;
+  std::uint64_t DrawNonce() override {
+    // JSON numbers are read back exactly up to 2^53.
+    return random_() >> 12U;
+  }
+  void OnChangeDone(const std::string& group,
+                    const std::string& leader,
+                    core::term_number term) override;
+  void NoteChange(const std::string& group,
+                  const char* event,
+                  const std::string& detail) override {
+    log_line(peers_.log, "groups", event)
+        .With("group", group)
+        .With("detail", detail);
+  }
+
+ private:
+  void ArmStart(watched_group& each);
+  void Probe(watched_group& each);
+  watched_group* Find(const std::string& name) {
+    const auto found = groups_.find(name);
+    return found == groups_.end() ? nullptr : found->second.get();
+  }
+
+  boost::asio::io_context& context_;
+  leader_keeper_peers peers_;
+  leader_keeper_listener& listener_;
+  replication::change_settings change_settings_;
+  replication::leader_watch_settings watch_settings_;
+  replication::leader_watch watch_;
+  std::mt19937_64 random_;
+  std::map<std::string, std::unique_ptr<watched_group>> groups_;
+  bool stopped_ = false;
+};
+
+void leader_keeper::implementation::Evaluate(const std::string& name) {
+  watched_group* each = Find(name);
+  if (each == nullptr || stopped_ || each->change.IsActive()) {
+    return;
+  }
+  const core::time_point now = core::clock::now();
+  if (watch_.ChangeNeeded(each->group, now).has_value()) {
+    ArmStart(*each);
+  } else if (replication::leader_watch::IsSuspected(each->group)) {
+    Probe(*each);
+  }
+}
+
+void leader_keeper::implementation::ArmStart(watched_group& each) {
+  if (each.start_armed) {
+    return;
+  }
+  each.start_armed = true;
+  const std::string key = change_settings_.holder + each.group.Name();
+  const core::milliseconds delay(
+      static_cast<std::int64_t>(XXH3_64bits(key.data(), key.size()) %
+                                static_cast<std::uint64_t>(
+                                    kStartSpread.count())));
+  each.start_timer.expires_at(
+      std::max(core::clock::now() + delay, each.not_before));
+  each.start_timer.async_wait([self = shared_from_this(),
+                               &each](error_code cancelled) {
+    each.start_armed = false;
+    if (cancelled || self->stopped_) {
+      return;
+    }
+    const core::time_point now = core::clock::now();
+    if (now < each.not_before) {
+      self->ArmStart(each);
+      return;
+    }
+    const auto reason = self->watch_.ChangeNeeded(each.group, now);
+    if (reason.has_value() && !each.change.IsActive()) {
+      each.change.Start(*reason);
+      self->listener_.OnLeaderChange(each.group.Name());
+    }
+  });
+}
+
+void leader_keeper::implementation::Probe(watched_group& each) {
+  if (each.probing) {
+    return;
+  }
+  each.probing = true;
+  const std::string leader = each.group.Leader();
+  const core::time_point sent = core::clock::now();
+  Order(each.group.Name(), leader, replication::server_order::kStatus, 0,
+        [self = shared_from_this(), &each, leader,
+         sent](std::optional<sessions::server_status> status) {
+          const core::time_point now = core::clock::now();
+          if (status.has_value()) {
+            each.group.OnSuccess(leader);
+          } else {
+            each.group.OnTrouble(leader, sent, now);
+          }
+          each.probe_timer.expires_after(kProbePause);
+          each.probe_timer.async_wait([self, &each](error_code cancelled) {
+            each.probing = false;
+            if (!cancelled) {
+              self->Evaluate(each.group.Name());
+            }
+          });
+        });
+}
+
+void leader_keeper::implementation::OnOtherChanging(const std::string& name) {
+  if (watched_group* each = Find(name)) {
+    each->not_before = core::clock::now() + kOtherChange;
+  }
+}
+
+void leader_keeper::implementation::ReadClaim(
+    const std::string& group,
+    std::function<void(std::optional<replication::group_claim>,
+                       core::milliseconds)> done) {
+  peers_.rows.Read(
+      kClaimTable, group, kClaimKey,
+      [done = std::move(done)](const store::rows_answer& answer) {
+        if (answer.status != store::call_status::kDone) {
+          done(std::nullopt, core::milliseconds(0));
+          return;
+        }
+        replication::group_claim claim;
+        for (const store::row& each : answer.rows) {
+          if (each.key != kClaimKey) {
+            continue;
+          }
+          if (auto decoded = DecodeClaim(each.value)) {
+            claim = *decoded;
+          }
+          claim.version = each.version;
+        }
+        done(claim, answer.now);
+      });
+}
+
+void leader_keeper::implementation::WriteClaim(
+    const std::string& group,
+    const replication::group_claim& claim,
+    std::function<void(store::call_status)> done) {
+  store::row_transaction change;
+  store::row row;
+  row.table = kClaimTable;
+  row.part = group;
+  row.key = kClaimKey;
+  row.version = claim.version;
+  row.value = EncodeClaim(claim);
+  change.expected.push_back(row);
+  change.writes.push_back(row);
+  peers_.rows.Commit(
+      change, [done = std::move(done)](const store::rows_answer& answer) {
+        done(answer.status);
+      });
+}
+
+void leader_keeper::implementation::Order(
+    const std::string& group,
+    const std::string& server,
+    replication::server_order order,
+    core::term_number term,
+    std::function<void(std::optional<sessions::server_status>)> done) {
+  watched_group* each = Find(group);
+  if (each == nullptr) {
+    boost::asio::post(context_,
+                      [done = std::move(done)] { done(std::nullopt); });
+    return;
+  }
+  std::string bytes;
+  switch (order) {
+    case replication::server_order::kStatus:
+      peers_.servers.AppendStatus(bytes);
+      break;
+    case replication::server_order::kHold:
+      peers_.servers.AppendHold(bytes, term);
+      break;
+    case replication::server_order::kResume:
+      peers_.servers.AppendResume(bytes);
+      break;
+  }
+  AskServer(context_, each->pool, server, std::move(bytes), kOrderLimit,
+            [self = shared_from_this(), done = std::move(done)](
+                std::optional<sessions::server_reply> reply) {
+              done(reply.has_value() ? self->peers_.status.Read(*reply)
+                                     : std::nullopt);
+            });
+}
+
+void leader_keeper::implementation::SetTimer(const std::string& group,
+                                             core::milliseconds pause) {
+  watched_group* each = Find(group);
+  each->change_timer.expires_after(pause);
+  each->change_timer.async_wait(
+      [self = shared_from_this(), each](error_code cancelled) {
+        if (!cancelled && !self->stopped_) {
+          each->change.OnTimer();
+        }
+      });
+}
+
+void leader_keeper::implementation::OnChangeDone(const std::string& group,
+                                                 const std::string& leader,
+                                                 core::term_number term) {
+  watched_group* each = Find(group);
+  log_line(peers_.log, "groups", "leader")
+      .With("group", group)
+      .With("server", leader)
+      .With("term", static_cast<std::int64_t>(term));
+  each->not_before = core::clock::now() + kRestartPause;
+  each->group.OnSuccess(leader);
+  each->pool.OnGroupChanged();
+  listener_.OnLeaderChange(group);
+  boost::asio::post(context_, [self = shared_from_this(), group] {
+    self->Evaluate(group);
+  });
+}
+
+leader_keeper::leader_keeper(boost::asio::io_context& context,
+                             const gateway_settings& settings,
+                             const leader_keeper_peers& peers,
+                             leader_keeper_listener& listener)
+    : implementation_(std::make_shared<implementation>(context,
+                                                       settings,
+                                                       peers,
+                                                       listener)) {}
+
+leader_keeper::~leader_keeper() {
+  implementation_->Stop();
+}
+
+void leader_keeper::Add(replication::group_state& group,
+                        connection_pool& pool) {
+  implementation_->Add(group, pool);
+}
+
+void leader_keeper::Evaluate(const std::string& group) {
+  implementation_->Evaluate(group);
+}
+
+void leader_keeper::OnOtherChanging(const std::string& group) {
+  implementation_->OnOtherChanging(group);
+}
+
+bool leader_keeper::IsChanging(const std::string& group) const {
+  return implementation_->IsChanging(group);
+}
+
+void leader_keeper::Stop() {
+  implementation_->Stop();
+}
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/peer_exchange.cpp
@@ -0,0 +1,590 @@
+#include "plantaintiller/gateway/peer_exchange.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "plantaintiller/gateway/relay_choice.h"
+#include "plantaintiller/gateway/socket_options.h"
+#include "plantaintiller/instances/heartbeat.capnp.h"
+
+namespace plantaintiller::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace wire = instances::wire;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+
+/// Pause between heartbeats: news travels at once, so that they only find
+/// instances that missed it, well within the time that a configuration has.
+constexpr core::milliseconds kBeat{1500};
+/// Silence after which an instance gets only a trial heartbeat now and then.
+constexpr core::milliseconds kSilence{6000};
+/// News of one moment leave in one datagram.
+constexpr core::milliseconds kGather{3};
+/// Longest transfer of state.
+constexpr core::milliseconds kTransferTimeout{900};
+constexpr std::size_t kMaxDatagram = 1400;
+/// Largest state: the platform's limit on a configuration, with the servers.
+constexpr std::uint32_t kMaxState = 4U << 20U;
+constexpr std::size_t kToldMembers = 6;
+constexpr std::size_t kMaxMembers = 4096;
+/// Largest message of Cap'n Proto read, in words.
+constexpr std::uint64_t kTraversalWords = kMaxState;
+
+struct member {
+  std::string zone;
+  std::string host;
+  core::time_point known_since;
+  core::time_point heard;
+};
+
+std::string Text(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
+std::string Frame(capnp::MessageBuilder& message) {
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  const auto size = static_cast<std::uint32_t>(bytes.size());
+  std::string out(sizeof(size), '\0');
+  std::memcpy(out.data(), &size, sizeof(size));
+  out.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  return out;
+}
+
+/// Copies bytes to where words may be read.
+kj::Array<capnp::word> Words(const char* data, std::size_t size) {
+  auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
+  std::memcpy(words.begin(), data, words.size() * sizeof(capnp::word));
+  return words;
+}
+
+std::string EncodeState(const remote_state& state) {
+  capnp::MallocMessageBuilder message;
+  auto answer = message.initRoot<wire::StateAnswer>();
+  answer.setConfiguration(state.configuration);
+  answer.setListVersion(state.list_version);
+  auto list = answer.initServers(static_cast<unsigned>(state.servers.size()));
+  for (unsigned n = 0; n < list.size(); ++n) {
+    const replication::server_entry& from = state.servers[n];
+    auto to = list[n];
+    to.setId(from.id);
+    to.setGroup(from.group);
+    to.setAddress(from.address);
+    to.setZone(from.zone);
+    to.setSlots(static_cast<std::uint32_t>(from.slots));
+    to.setDraining(from.draining);
+    to.setReportsLeader(from.reports_leader);
+    to.setBornMs(from.born_ms);
+  }
+  return Frame(message);
+}
+
+remote_state DecodeState(const std::string& bytes) {
+  const auto words = Words(bytes.data(), bytes.size());
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kTraversalWords;
+  capnp::FlatArrayMessageReader reader(words, options);
+  const auto answer = reader.getRoot<wire::StateAnswer>();
+  remote_state state;
+  state.configuration = Text(answer.getConfiguration());
+  state.list_version = answer.getListVersion();
+  for (const auto from : answer.getServers()) {
+    replication::server_entry to;
+    to.id = Text(from.getId());
+    to.group = Text(from.getGroup());
+    to.address = Text(from.getAddress());
+    to.zone = Text(from.getZone());
+    to.slots = static_cast<int>(from.getSlots());
+    to.draining = from.getDraining();
+    to.reports_leader = from.getReportsLeader();
+    to.born_ms = from.getBornMs();
+    state.servers.push_back(std::move(to));
+  }
+  return state;
+}
+
+/// One transfer over TCP, either end.
+class transfer : public std::enable_shared_from_this<transfer> {
+ public:
+  using done = std::function<void(const std::string& body)>;
+  explicit transfer(tcp::socket socket)
+      : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+
+  tcp::socket& Socket() { return socket_; }
+  void Arm() {
+    timer_.expires_after(kTransferTimeout);
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled) {
+        error_code ignored;
+        self->socket_.close(ignored);
+      }
+    });
+  }
+  void Write(std::string body, std::function<void()> written) {
+    out_ = std::move(body);
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this(), written = std::move(written)](
+                          error_code failed, std::size_t) {
+                        if (!failed) {
+                          written();
+                        } else {
+                          self->timer_.cancel();
+                        }
+                      });
+  }
+  void Read(done received, std::function<void()> lost) {
+    asio::async_read(
+        socket_, asio::buffer(&size_, sizeof(size_)),
+        [self = shared_from_this(), received = std::move(received),
+         lost = std::move(lost)](error_code failed, std::size_t) {
+          if (failed || self->size_ > kMaxState) {
+            self->timer_.cancel();
+            lost();
+            return;
+          }
+          self->in_.resize(self->size_);
+          asio::async_read(self->socket_, asio::buffer(self->in_),
+                           [self, received, lost](error_code error,
+                                                  std::size_t) {
+                             self->timer_.cancel();
+                             if (error) {
+                               lost();
+                             } else {
+                               received(self->in_);
+                             }
+                           });
+        });
+  }
+  void Finish() { timer_.cancel(); }
+
+ private:
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::uint32_t size_ = 0;
+  std::string in_;
+  std::string out_;
+};
+
+}  // namespace
+
+class peer_exchange::implementation
+    : public std::enable_shared_from_this<peer_exchange::implementation> {
+ public:
+  implementation(asio::io_context& context,
+                 const gateway_settings& settings,
+                 event_log& log,
+                 peer_listener& listener)
+      : context_(context),
+        settings_(settings),
+        log_(log),
+        listener_(listener),
+        datagrams_(context),
+        acceptor_(context),
+        beat_(context),
+        gather_(context),
+        random_(std::random_device()()) {
+    incarnation_ = random_();
+  }
+
+  void Start();
+  void Stop();
+  void Introduce(const std::string& instance,
+                 const std::string& zone,
+                 const std::string& host);
+  void Announce();
+  void AskForConnection(const std::string& group, const std::string& server);
+  std::size_t LivePeers() const;
+
+ private:
+  void Receive();
+  void OnDatagram(std::size_t size);
+  void OnHeartbeat(wire::Heartbeat::Reader beat);
+  void Accept();
+  void Serve(const std::shared_ptr<transfer>& with);
+  void Pull(const std::string& host);
+  void ScheduleBeat();
+  void SendToAll(bool trial);
+  void SendTo(const std::string& host, const std::string& bytes);
+  std::string Encode();
+  std::vector<relay_candidate> Live(core::time_point now) const;
+
+  asio::io_context& context_;
+  const gateway_settings& settings_;
+  event_log& log_;
+  peer_listener& listener_;
+  udp::socket datagrams_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer beat_;
+  asio::steady_timer gather_;
+  bool gathering_ = false;
+  bool pulling_ = false;
+  bool stopped_ = false;
+  std::mt19937_64 random_;
+  std::uint64_t incarnation_ = 0;
+  udp::endpoint sender_;
+  std::array<char, 2048> chunk_{};
+  std::map<std::string, member> members_;
+  std::set<std::pair<std::string, std::string>> full_;
+};
+
+void peer_exchange::implementation::Start() {
+  const auto host = asio::ip::make_address(settings_.peers.host);
+  datagrams_.open(udp::v4());
+  datagrams_.bind({host, settings_.peers.port});
+  acceptor_.open(tcp::v4());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind({host, settings_.peers.port});
+  acceptor_.listen();
+  Receive();
+  Accept();
+  const std::string bytes = Encode();
+  for (const std::string& seed : settings_.seeds) {
+    SendTo(seed, bytes);
+  }
+  ScheduleBeat();
+}
+
+void peer_exchange::implementation::Stop() {
+  stopped_ = true;
+  error_code ignored;
+  datagrams_.close(ignored);
+  acceptor_.close(ignored);
+  beat_.cancel();
+  gather_.cancel();
+}
+
+void peer_exchange::implementation::Introduce(const std::string& instance,
+                                              const std::string& zone,
+                                              const std::string& host) {
+  if (instance == settings_.instance || members_.size() >= kMaxMembers) {
+    return;
+  }
+  const bool added = !members_.contains(instance);
+  member& known = members_[instance];
+  const bool moved = known.host != host;
+  known.zone = zone;
+  known.host = host;
+  if (added || moved) {
+    known.known_since = core::clock::now();
+    SendTo(host, Encode());
+  }
+}
+
+void peer_exchange::implementation::Announce() {
+  if (gathering_ || stopped_) {
+    return;
+  }
+  gathering_ = true;
+  gather_.expires_after(kGather);
+  gather_.async_wait([self = shared_from_this()](error_code cancelled) {
+    self->gathering_ = false;
+    if (!cancelled) {
+      self->SendToAll(false);
+    }
+  });
+}
+
+void peer_exchange::implementation::AskForConnection(
+    const std::string& group,
+    const std::string& server) {
+  full_.insert({group, server});
+  Announce();
+}
+
+std::vector<relay_candidate> peer_exchange::implementation::Live(
+    core::time_point now) const {
+  std::vector<relay_candidate> live;
+  for (const auto& [name, each] : members_) {
+    if (now - std::max(each.heard, each.known_since) < kSilence) {
+      live.push_back({name, each.zone, each.host});
+    }
+  }
+  return live;
+}
+
+std::size_t peer_exchange::implementation::LivePeers() const {
+  return Live(core::clock::now()).size();
+}
+
+void peer_exchange::implementation::SendToAll(bool trial) {
+  const core::time_point now = core::clock::now();
+  const std::string bytes = Encode();
+  const std::vector<relay_candidate> live = Live(now);
+  const relay_candidate self{settings_.instance, settings_.zone,
+                             settings_.peers.host};
+  for (const std::string& host :
+       relay_choice::Targets(self, live, kSmallDeployment)) {
+    SendTo(host, bytes);
+  }
+  if (trial && live.size() < members_.size()) {
+    auto silent = members_.begin();
+    std::advance(silent, static_cast<std::ptrdiff_t>(random_() %
+                                                     members_.size()));
+    SendTo(silent->second.host, bytes);
+  }
+  if (live.empty()) {
+    for (const std::string& seed : settings_.seeds) {
+      SendTo(seed, bytes);
+    }
+  }
+  full_.clear();
+}
+
+void peer_exchange::implementation::SendTo(const std::string& host,
+                                           const std::string& bytes) {
+  error_code error;
+  const auto address = asio::ip::make_address(host, error);
+  if (error || host == settings_.peers.host || stopped_) {
+    return;
+  }
+  // A datagram that cannot be sent is as good as a lost one.
+  datagrams_.send_to(asio::buffer(bytes), {address, settings_.peers.port}, 0,
+                     error);
+}
+
+std::string peer_exchange::implementation::Encode() {
+  const instance_view view = listener_.View();
+  capnp::MallocMessageBuilder message;
+  auto beat = message.initRoot<wire::Heartbeat>();
+  beat.setInstance(settings_.instance);
+  beat.setZone(settings_.zone);
+  beat.setHost(settings_.peers.host);
+  beat.setIncarnation(incarnation_);
+  beat.setConfigurationVersion(view.configuration_version);
+  beat.setListVersion(view.list_version);
+  beat.setLeaving(view.leaving);
+  auto leaders = beat.initLeaders(static_cast<unsigned>(view.leaders.size()));
+  for (unsigned n = 0; n < leaders.size(); ++n) {
+    leaders[n].setGroup(view.leaders[n].group);
+    leaders[n].setServer(view.leaders[n].server);
+    leaders[n].setTerm(view.leaders[n].term);
+    leaders[n].setChanging(view.leaders[n].changing);
+  }
+  auto full = beat.initFull(static_cast<unsigned>(full_.size()));
+  unsigned place = 0;
+  for (const auto& [group, server] : full_) {
+    full[place].setGroup(group);
+    full[place].setServer(server);
+    ++place;
+  }
+  const std::vector<relay_candidate> live = Live(core::clock::now());
+  const std::size_t told = std::min(kToldMembers, live.size());
+  auto members = beat.initMembers(static_cast<unsigned>(told));
+  const std::size_t first = live.empty() ? 0 : random_() % live.size();
+  for (unsigned n = 0; n < told; ++n) {
+    const relay_candidate& each = live[(first + n) % live.size()];
+    members[n].setInstance(each.name);
+    members[n].setZone(each.zone);
+    members[n].setHost(each.host);
+  }
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+void peer_exchange::implementation::ScheduleBeat() {
+  beat_.expires_after(kBeat);
+  beat_.async_wait([self = shared_from_this()](error_code cancelled) {
+    if (!cancelled && !self->stopped_) {
+      self->SendToAll(true);
+      self->ScheduleBeat();
+    }
+  });
+}
+
+void peer_exchange::implementation::Receive() {
+  datagrams_.async_receive_from(
+      asio::buffer(chunk_), sender_,
+      [self = shared_from_this()](error_code failed, std::size_t size) {
+        if (self->stopped_) {
+          return;
+        }
+        if (!failed) {
+          self->OnDatagram(size);
+        }
+        self->Receive();
+      });
+}
+
+void peer_exchange::implementation::OnDatagram(std::size_t size) {
+  try {
+    const auto words = Words(chunk_.data(), size);
+    capnp::FlatArrayMessageReader reader(words);
+    OnHeartbeat(reader.getRoot<wire::Heartbeat>());
+  } catch (const kj::Exception& problem) {
+    log_line(log_, "peers", "unreadable")
+        .With("from", sender_.address().to_string())
+        .With("bytes", static_cast<std::int64_t>(size))
+        .With("detail", problem.getDescription().cStr());
+  }
+}
+
+void peer_exchange::implementation::OnHeartbeat(wire::Heartbeat::Reader beat) {
+  const std::string name = Text(beat.getInstance());
+  if (name.empty() || name == settings_.instance) {
+    return;
+  }
+  Introduce(name, Text(beat.getZone()), Text(beat.getHost()));
+  const auto found = members_.find(name);
+  if (found == members_.end()) {
+    return;
+  }
+  found->second.heard = core::clock::now();
+  for (const auto each : beat.getMembers()) {
+    const std::string other = Text(each.getInstance());
+    if (!members_.contains(other)) {
+      Introduce(other, Text(each.getZone()), Text(each.getHost()));
+    }
+  }
+  for (const auto each : beat.getLeaders()) {
+    listener_.OnPeerLeader(name,
+                           {Text(each.getGroup()), Text(each.getServer()),
+                            each.getTerm(), each.getChanging()});
+  }
+  for (const auto each : beat.getFull()) {
+    listener_.OnPeerLacksConnection(Text(each.getGroup()),
+                                    Text(each.getServer()));
+  }
+  const instance_view own = listener_.View();
+  const bool behind =
+      beat.getConfigurationVersion() > own.configuration_version ||
+      (listener_.WantsList() && beat.getListVersion() > own.list_version);
+  if (behind) {
+    Pull(found->second.host);
+  }
+}
+
+void peer_exchange::implementation::Pull(const std::string& host) {
+  error_code error;
+  const auto address = asio::ip::make_address(host, error);
+  if (pulling_ || error) {
+    return;
+  }
+  pulling_ = true;
+  const auto with = std::make_shared<transfer>(tcp::socket(context_));
+  with->Arm();
+  const auto end = [self = shared_from_this()] { self->pulling_ = false; };
+  with->Socket().async_connect(
+      {address, settings_.peers.port},
+      [self = shared_from_this(), with, end](error_code failed) {
+        if (failed) {
+          with->Finish();
+          end();
+          return;
+        }
+        SetLatencyOptions(with->Socket());
+        const instance_view own = self->listener_.View();
+        capnp::MallocMessageBuilder message;
+        auto asked = message.initRoot<wire::StateRequest>();
+        asked.setConfigurationVersion(own.configuration_version);
+        asked.setListVersion(own.list_version);
+        with->Write(Frame(message), [] {});
+        with->Read(
+            [self, end](const std::string& body) {
+              end();
+              try {
+                self->listener_.OnRemoteState(DecodeState(body));
+              } catch (const kj::Exception& problem) {
+                log_line(self->log_, "peers", "unreadable_state")
+                    .With("detail", problem.getDescription().cStr());
+              }
+            },
+            end);
+      });
+}
+
+void peer_exchange::implementation::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](error_code failed,
+                                                     tcp::socket socket) {
+    if (failed == asio::error::operation_aborted || self->stopped_) {
+      return;
+    }
+    if (!failed) {
+      SetLatencyOptions(socket);
+      self->Serve(std::make_shared<transfer>(std::move(socket)));
+    }
+    self->Accept();
+  });
+}
+
+void peer_exchange::implementation::Serve(
+    const std::shared_ptr<transfer>& with) {
+  with->Arm();
+  with->Read(
+      [self = shared_from_this(), with](const std::string& body) {
+        try {
+          const auto words = Words(body.data(), body.size());
+          capnp::FlatArrayMessageReader reader(words);
+          const auto asked = reader.getRoot<wire::StateRequest>();
+          with->Arm();
+          with->Write(EncodeState(self->listener_.StateAfter(
+                          asked.getConfigurationVersion(),
+                          asked.getListVersion())),
+                      [with] { with->Finish(); });
+        } catch (const kj::Exception& problem) {
+          log_line(self->log_, "peers", "unreadable_request")
+              .With("detail", problem.getDescription().cStr());
+        }
+      },
+      [] {});
+}
+
+peer_exchange::peer_exchange(asio::io_context& context,
+                             const gateway_settings& settings,
+                             event_log& log,
+                             peer_listener& listener)
+    : implementation_(std::make_shared<implementation>(context,
+                                                       settings,
+                                                       log,
+                                                       listener)) {}
+
+peer_exchange::~peer_exchange() {
+  implementation_->Stop();
+}
+
+void peer_exchange::Start() {
+  implementation_->Start();
+}
+
+void peer_exchange::Stop() {
+  implementation_->Stop();
+}
+
+void peer_exchange::Introduce(const std::string& instance,
+                              const std::string& zone,
+                              const std::string& host) {
+  implementation_->Introduce(instance, zone, host);
+}
+
+void peer_exchange::Announce() {
+  implementation_->Announce();
+}
+
+void peer_exchange::AskForConnection(const std::string& group,
+                                     const std::string& server) {
+  implementation_->AskForConnection(group, server);
+}
+
+std::size_t peer_exchange::LivePeers() const {
+  return implementation_->LivePeers();
+}
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/peer_exchange.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plantaintiller/core/time.h"
+#include "plantaintiller/gateway/event_log.h"
+#include "plantaintiller/gateway/gateway_settings.h"
+#include "plantaintiller/replication/group_state.h"
+
+namespace plantaintiller::gateway {
+
+/// A leader as an instance believes it.
+struct leader_belief {
+  std::string group;
+  std::string server;
+  core::term_number term = 0;
+  /// Whether the instance is changing the group's leader now.
+  bool changing = false;
+};
+
+/// What an instance tells the others of itself.
+struct instance_view {
+  std::uint64_t configuration_version = 0;
+  /// Version of the store that the list of servers is of.
+  std::uint64_t list_version = 0;
+  bool leaving = false;
+  /// Leaders that changed lately; few.
+  std::vector<leader_belief> leaders;
+};
+
+/// What an instance takes over from another.
+struct remote_state {
+  /// Text of the configuration; empty if it is not newer.
+  std::string configuration;
+  std::uint64_t list_version = 0;
+  /// Empty if the list is not newer.
+  std::vector<replication::server_entry> servers;
+};
+
+/// Told what other instances say, and asked for this one's state.
+class peer_listener {
+ public:
+  virtual ~peer_listener() = default;
+  virtual instance_view View() const = 0;
+  /// State for an instance that knows less.
+  virtual remote_state StateAfter(std::uint64_t configuration_version,
+                                  std::uint64_t list_version) const = 0;
+  virtual void OnPeerLeader(const std::string& instance,
+                            const leader_belief& belief) = 0;
+  /// Another instance lacks a connection to a server.
+  virtual void OnPeerLacksConnection(const std::string& group,
+                                     const std::string& server) = 0;
+  virtual void OnRemoteState(const remote_state& state) = 0;
+  /// Whether lists of servers should come from peers, as the store is lost.
+  virtual bool WantsList() const = 0;
+};
+
+/// Heartbeats between instances, in datagrams of Cap'n Proto, and transfers of
+/// state over TCP to those that are behind.
+///
+/// Up to `kSmallDeployment` instances tell all others. Above it each tells the
+/// two relays of its availability zone, and relays tell their zone and the
+/// relays of the others, so that the cost of an instance does not grow with
+/// their number.
+class peer_exchange {
+ public:
+  static constexpr std::size_t kSmallDeployment = 16;
+
+  /// All references must outlive the exchange.
+  peer_exchange(boost::asio::io_context& context,
+                const gateway_settings& settings,
+                event_log& log,
+                peer_listener& listener);
+  ~peer_exchange();
+
+  /// Opens the sockets and greets the seeds.
+  void Start();
+  void Stop();
+  /// An instance is known from elsewhere.
+  void Introduce(const std::string& instance,
+                 const std::string& zone,
+                 const std::string& host);
+  /// Sends the view at once, as something in it has changed.
+  void Announce();
+  /// Asks others to give up an idle connection to a server.
+  void AskForConnection(const std::string& group, const std::string& server);
+  /// Instances heard from lately, this one not counted.
+  std::size_t LivePeers() const;
+
+ private:
+  class implementation;
+  std::shared_ptr<implementation> implementation_;
+};
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/relay_choice.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace plantaintiller::gateway {
+
+/// An instance that may relay news.
+struct relay_candidate {
+  std::string name;
+  std::string zone;
+  std::string host;
+};
+
+/// Chooses whom an instance tells its news.
+class relay_choice {
+ public:
+  /// Instances of each availability zone that pass news on.
+  static constexpr std::size_t kRelays = 2;
+
+  /// @param self the instance that tells; @param live others believed alive;
+  /// @param small up to this many instances everyone tells everyone.
+  /// @return hosts to tell: all others in a small deployment; else the relays
+  /// of its zone, and for a relay its whole zone and the relays of the others.
+  static std::vector<std::string> Targets(
+      const relay_candidate& self,
+      const std::vector<relay_candidate>& live,
+      std::size_t small);
+};
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/server_question.cpp
@@ -0,0 +1,86 @@
+#include "plantaintiller/gateway/server_question.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace plantaintiller::gateway {
+
+namespace {
+
+/// Before every class of callers' statements.
+constexpr int kQuestionPriority = -1;
+
+/// A question in progress. It holds itself until it is answered.
+class question : public std::enable_shared_from_this<question>,
+                 public connection_taker,
+                 public sessions::reply_listener {
+ public:
+  question(boost::asio::io_context& context,
+           connection_pool& pool,
+           std::string bytes,
+           question_done done)
+      : timer_(context),
+        pool_(pool),
+        bytes_(std::move(bytes)),
+        done_(std::move(done)) {}
+
+  void Start(const std::string& server, core::milliseconds limit) {
+    self_ = shared_from_this();
+    timer_.expires_after(limit);
+    timer_.async_wait([this, held = self_](boost::system::error_code error) {
+      if (!error && self_ != nullptr) {
+        pool_.Cancel(*this);
+        End(std::nullopt, sessions::leave_kind::kBroken);
+      }
+    });
+    sessions::connection_need need;
+    need.server = server;
+    need.priority = kQuestionPriority;
+    pool_.Acquire(need, *this);
+  }
+
+  sessions::reply_listener& Listener() override { return *this; }
+  void OnConnection(sessions::server_connection& connection) override {
+    connection_ = &connection;
+    connection.Send(bytes_, 1);
+  }
+  void OnReply(sessions::server_reply reply) override {
+    End(std::move(reply), sessions::leave_kind::kClean);
+  }
+  void OnLost() override {
+    connection_ = nullptr;
+    End(std::nullopt, sessions::leave_kind::kBroken);
+  }
+
+ private:
+  void End(std::optional<sessions::server_reply> reply,
+           sessions::leave_kind how) {
+    const auto held = std::exchange(self_, nullptr);
+    timer_.cancel();
+    if (connection_ != nullptr) {
+      std::exchange(connection_, nullptr)->Leave(how);
+    }
+    std::exchange(done_, nullptr)(std::move(reply));
+  }
+
+  boost::asio::steady_timer timer_;
+  connection_pool& pool_;
+  std::string bytes_;
+  question_done done_;
+  sessions::server_connection* connection_ = nullptr;
+  std::shared_ptr<question> self_;
+};
+
+}  // namespace
+
+void AskServer(boost::asio::io_context& context,
+               connection_pool& pool,
+               const std::string& server,
+               std::string bytes,
+               core::milliseconds limit,
+               question_done done) {
+  std::make_shared<question>(context, pool, std::move(bytes), std::move(done))
+      ->Start(server, limit);
+}
+
+}  // namespace plantaintiller::gateway
--- a/plantaintiller/gateway/store_watch.cpp
+++ b/plantaintiller/gateway/store_watch.cpp
@@ -42,6 +42,10 @@
   ReadServers("");
 }
 
+bool store_watch::IsLost() const {
+  return store_lost_;
+}
+
 void store_watch::Stop() {
   stopped_ = true;
   route_timer_.cancel();
@@ -49,7 +53,7 @@
 }
 
 void store_watch::ReadRoutes() {
-  rows_.Read(codec_.ConfigurationTable(), "",
+  rows_.Read(codec_.ConfigurationTable(), "", "",
              [this](const store::rows_answer& answer) { OnRouteRows(answer); });
 }
 
@@ -130,7 +134,7 @@
     reading_.clear();
   }
   rows_.Read(
-      codec_.ServerTable(), from,
+      codec_.ServerTable(), "", from,
       [this](const store::rows_answer& answer) { OnServerRows(answer); });
 }
 
@@ -169,7 +173,6 @@
   }
   known_ = std::move(reading_);
   reading_.clear();
-  last_servers_ = now;
   std::vector<replication::server_entry> servers;
   servers.reserve(known_.size());
   for (const auto& [id, entry] : known_) {
--- a/plantaintiller/gateway/store_watch.h
+++ b/plantaintiller/gateway/store_watch.h
@@ -41,8 +41,8 @@
   void Stop();
   /// Reads the list of servers soon, out of turn.
   void ReadServersSoon();
-  /// Time of the last answer about servers; the epoch if there was none.
-  core::time_point LastHeard() const { return last_servers_; }
+  /// Whether the last call for the list of servers failed.
+  bool IsLost() const;
 
  private:
   void ReadRoutes();
@@ -64,7 +64,6 @@
   bool reading_servers_ = false;
   store::row_version route_version_ = 0;
   bool store_lost_ = false;
-  core::time_point last_servers_;
   core::time_point last_read_;
   core::time_point keep_missing_until_;
   std::map<std::string, replication::server_entry> known_;
--- /dev/null
+++ b/plantaintiller/instances/heartbeat.capnp
@@ -0,0 +1,65 @@
+@0xd3b1f0a7c9e24f61;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("plantaintiller::instances::wire");
+
+# What entry instances tell each other in one datagram.
+struct Heartbeat {
+  instance @0 :Text;
+  zone @1 :Text;
+  host @2 :Text;
+  # Drawn at each start.
+  incarnation @3 :UInt64;
+  configurationVersion @4 :UInt64;
+  # Version of the store that the sender's list of servers is of.
+  listVersion @5 :UInt64;
+  leaving @6 :Bool;
+  leaders @7 :List(Leader);
+  # Servers that refuse the sender a connection, all being in use.
+  full @8 :List(ServerName);
+  # Some of the instances that the sender knows.
+  members @9 :List(Member);
+}
+
+struct Leader {
+  group @0 :Text;
+  server @1 :Text;
+  term @2 :UInt64;
+  # Whether the sender is changing the group's leader now.
+  changing @3 :Bool;
+}
+
+struct ServerName {
+  group @0 :Text;
+  server @1 :Text;
+}
+
+struct Member {
+  instance @0 :Text;
+  zone @1 :Text;
+  host @2 :Text;
+}
+
+# A request for what the sender's versions show to be newer.
+struct StateRequest {
+  configurationVersion @0 :UInt64;
+  listVersion @1 :UInt64;
+}
+
+struct StateAnswer {
+  # Empty if the asked instance has none newer.
+  configuration @0 :Text;
+  listVersion @1 :UInt64;
+  servers @2 :List(ServerState);
+}
+
+struct ServerState {
+  id @0 :Text;
+  group @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  slots @4 :UInt32;
+  draining @5 :Bool;
+  reportsLeader @6 :Bool;
+  bornMs @7 :Int64;
+}
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -40,7 +40,7 @@
   if (each.avoid_until > now) {
     cost += kAvoidMs;
   }
-  if (each.entry.draining) {
+  if (each.entry.draining || each.lapsed_since.has_value()) {
     cost += 2 * kAvoidMs;
   }
   return cost;
@@ -71,12 +71,20 @@
     made.entry = entry;
     const auto zone = zones.find(entry.zone);
     made.away = zone == zones.end() ? distance::kOtherRegion : zone->second;
+    made.lapsed_since.reset();
+    if (!entry.draining) {
+      made.draining_since.reset();
+    } else if (!made.draining_since.has_value()) {
+      made.draining_since = now;
+    }
     if (entry.reports_leader) {
       reported = entry.id;
       leaders += 1;
     }
     next.emplace(entry.id, std::move(made));
   }
+  KeepLapsedLeader(next, now);
+  RememberGone(next, now);
   servers_ = std::move(next);
   if (!deposed_.empty() && reported != deposed_) {
     deposed_.clear();
@@ -84,20 +92,72 @@
   const bool seen_lately =
       !leader_.empty() && now - leader_seen_ < kSeenOutranksList;
   if (leaders == 1 && reported != deposed_ && !seen_lately) {
-    leader_ = reported;
+    SetLeader(reported, now);
   }
   if (!leader_.empty() && !servers_.contains(leader_)) {
-    leader_ = leaders == 1 ? reported : "";
+    SetLeader(leaders == 1 ? reported : "", now);
+  }
+}
+
+void group_state::KeepLapsedLeader(std::map<std::string, server>& next,
+                                   core::time_point now) const {
+  const auto leader = servers_.find(leader_);
+  if (leader == servers_.end() || next.contains(leader_) ||
+      leader->second.failures > 0) {
+    return;
+  }
+  server kept = leader->second;
+  if (!kept.lapsed_since.has_value()) {
+    kept.lapsed_since = now;
+  }
+  if (now - *kept.lapsed_since < kKeepLapsed) {
+    next.emplace(leader_, std::move(kept));
+  }
+}
+
+void group_state::RememberGone(const std::map<std::string, server>& next,
+                               core::time_point now) {
+  std::erase_if(gone_, [now](const auto& each) {
+    return now - each.second > kRememberGone;
+  });
+  for (const auto& [id, each] : servers_) {
+    const auto found = next.find(id);
+    const bool restarted = found != next.end() &&
+                           found->second.entry.born_ms != each.entry.born_ms;
+    if (found == next.end() || restarted) {
+      gone_[id] = now;
+    }
   }
 }
 
+void group_state::SetLeader(const std::string& server, core::time_point now) {
+  if (server.empty()) {
+    if (!leader_.empty()) {
+      leaderless_since_ = now;
+    }
+  } else {
+    last_leader_ = server;
+  }
+  leader_ = server;
+}
+
+std::optional<core::time_point> group_state::LeaderlessSince() const {
+  return leader_.empty() ? std::optional(leaderless_since_) : std::nullopt;
+}
+
+std::optional<core::time_point> group_state::GoneSince(
+    const std::string& server) const {
+  const auto found = gone_.find(server);
+  return found == gone_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void group_state::OnLeaderSeen(const std::string& server,
                                core::term_number term,
                                core::time_point now) {
   if (term < leader_term_ || !servers_.contains(server)) {
     return;
   }
-  leader_ = server;
+  SetLeader(server, now);
   leader_term_ = term;
   leader_seen_ = now;
   if (deposed_ == server) {
@@ -105,17 +165,18 @@
   }
 }
 
-void group_state::OnNotLeader(const std::string& server) {
+void group_state::OnNotLeader(const std::string& server, core::time_point now) {
   if (leader_ != server) {
     return;
   }
   deposed_ = server;
-  leader_.clear();
+  std::string reported;
   for (const auto& [id, each] : servers_) {
     if (each.entry.reports_leader && id != server) {
-      leader_ = id;
+      reported = id;
     }
   }
+  SetLeader(reported, now);
 }
 
 void group_state::OnLagging(const std::string& server, core::time_point now) {
@@ -130,11 +191,30 @@
   }
 }
 
-void group_state::OnTrouble(const std::string& server, core::time_point now) {
+void group_state::OnTrouble(const std::string& server,
+                            core::time_point sent,
+                            core::time_point now) {
+  group_state::server* found = Find(server);
+  if (found == nullptr) {
+    return;
+  }
+  if (found->failures == 0) {
+    found->failing_since = sent;
+  }
+  found->avoid_until =
+      now + kTroublePause * (1 << std::min(found->failures, 3));
+  found->failures += 1;
+}
+
+void group_state::OnBusy(const std::string& server, core::time_point now) {
+  if (group_state::server* found = Find(server)) {
+    found->avoid_until = now + kTroublePause;
+  }
+}
+
+void group_state::OnWriteOutcome(const std::string& server, bool answered) {
   if (group_state::server* found = Find(server)) {
-    found->avoid_until =
-        now + kTroublePause * (1 << std::min(found->failures, 3));
-    found->failures += 1;
+    found->unanswered_writes = answered ? 0 : found->unanswered_writes + 1;
   }
 }
 
@@ -142,7 +222,13 @@
     const std::vector<std::string>& excluded,
     core::time_point now) const {
   std::vector<std::pair<double, std::string>> costs;
+  const bool staying = std::any_of(
+      servers_.begin(), servers_.end(),
+      [](const auto& each) { return !each.second.entry.draining; });
   for (const auto& [id, each] : servers_) {
+    if (staying && each.entry.draining) {
+      continue;
+    }
     if (std::find(excluded.begin(), excluded.end(), id) == excluded.end()) {
       costs.emplace_back(CostOf(each, id == leader_, now), id);
     }
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,15 @@
     core::time_point avoid_until;
     /// Failures in a row without a success between.
     int failures = 0;
+    /// When the first of them was sent.
+    core::time_point failing_since;
+    /// Since when it is not listed; a leader is kept for a while, as long as it
+    /// answers, until another leads.
+    std::optional<core::time_point> lapsed_since;
+    /// Since when it is draining.
+    std::optional<core::time_point> draining_since;
+    /// Writes in a row that were sent and got no answer in time.
+    int unanswered_writes = 0;
   };
 
   explicit group_state(std::string name) : name_(std::move(name)) {}
@@ -62,17 +72,34 @@
                     core::term_number term,
                     core::time_point now);
   /// A server refused what only the leader runs.
-  void OnNotLeader(const std::string& server);
+  void OnNotLeader(const std::string& server, core::time_point now);
   /// A replica's log was too short for a read.
   void OnLagging(const std::string& server, core::time_point now);
   /// A server answered.
   void OnSuccess(const std::string& server);
-  /// A connection to a server failed, or it was too busy.
-  void OnTrouble(const std::string& server, core::time_point now);
+  /// A server got work and did not answer, or could not be reached.
+  /// @param sent when it got the work.
+  void OnTrouble(const std::string& server,
+                 core::time_point sent,
+                 core::time_point now);
+  /// A server answered that it is too busy.
+  void OnBusy(const std::string& server, core::time_point now);
+  /// A write was answered, or was not in time.
+  void OnWriteOutcome(const std::string& server, bool answered);
 
   /// Server believed to lead. @return empty if there is none.
   const std::string& Leader() const { return leader_; }
   core::term_number LeaderTerm() const { return leader_term_; }
+  /// Server that led last, listed or not.
+  const std::string& LastLeader() const { return last_leader_; }
+  /// Since when no server leads; nothing while one does.
+  std::optional<core::time_point> LeaderlessSince() const;
+  /// Servers that left the list lately, or lost their state, and since when.
+  const std::map<std::string, core::time_point>& GoneServers() const {
+    return gone_;
+  }
+  /// Since when a server is known to be gone. @return nothing if it is not.
+  std::optional<core::time_point> GoneSince(const std::string& server) const;
   /// Servers in the order in which a read should try them.
   /// @param excluded servers that the read has tried.
   std::vector<std::string> ReadOrder(const std::vector<std::string>& excluded,
@@ -91,8 +118,25 @@
   /// is read once a second and may be a heartbeat late.
   static constexpr core::milliseconds kSeenOutranksList{3000};
 
+  /// How long a server that is gone is remembered: replicas that are reached at
+  /// all are never further behind.
+  static constexpr core::milliseconds kRememberGone{30000};
+
+  /// How long a leader that is not listed is kept: less than the time in which
+  /// a server that is gone must get no more work.
+  static constexpr core::milliseconds kKeepLapsed{5000};
+
+  void SetLeader(const std::string& server, core::time_point now);
+  void KeepLapsedLeader(std::map<std::string, server>& next,
+                        core::time_point now) const;
+  void RememberGone(const std::map<std::string, server>& next,
+                    core::time_point now);
+
   std::string name_;
   std::map<std::string, server> servers_;
+  std::map<std::string, core::time_point> gone_;
+  std::string last_leader_;
+  core::time_point leaderless_since_;
   std::string leader_;
   core::term_number leader_term_ = 0;
   core::time_point leader_seen_;
--- /dev/null
+++ b/plantaintiller/replication/primary_change.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "plantaintiller/core/log_position.h"
+#include "plantaintiller/core/time.h"
+#include "plantaintiller/replication/group_state.h"
+#include "plantaintiller/sessions/codec.h"
+#include "plantaintiller/store/row_store.h"
+
+namespace plantaintiller::replication {
+
+/// Why a group needs another leader.
+enum class change_reason : std::uint8_t {
+  /// The leader is about to stop.
+  kLeaving,
+  /// The leader is not listed any more.
+  kGone,
+  /// The leader does not answer.
+  kSilent,
+  /// The leader answers, but its commits are not confirmed.
+  kStuck,
+  /// No server leads.
+  kNone,
+};
+
+/// Name of a reason in logs. @return a string of static storage.
+const char* ReasonName(change_reason reason);
+
+/// The row of a group: who may change its leader.
+struct group_claim {
+  /// Fencing token; it rises with each claim.
+  std::uint64_t token = 0;
+  std::string holder;
+  /// Drawn for each claim, so that a lost answer can be told from a lost race.
+  std::uint64_t nonce = 0;
+  /// Time of the claim on the store's clock.
+  core::milliseconds claimed_at{0};
+  store::row_version version = 0;
+};
+
+/// An order to a backend server.
+enum class server_order : std::uint8_t { kStatus, kHold, kResume };
+
+/// What a change of primary asks of the process around it. Answers come later,
+/// never during a call.
+class change_host {
+ public:
+  virtual ~change_host() = default;
+  virtual core::time_point Now() const = 0;
+  /// Reads the group's claim. @param done gets nothing if the store did not
+  /// answer; a claim with version 0 if there is none; and the store's clock.
+  virtual void ReadClaim(
+      const std::string& group,
+      std::function<void(std::optional<group_claim>, core::milliseconds)>
+          done) = 0;
+  /// Replaces the claim if it has still the given version.
+  /// @param done gets the status, and on success the new row's version.
+  virtual void WriteClaim(const std::string& group,
+                          const group_claim& claim,
+                          std::function<void(store::call_status)> done) = 0;
+  /// Sends an order. @param done gets nothing without a usable answer.
+  virtual void Order(
+      const std::string& group,
+      const std::string& server,
+      server_order order,
+      core::term_number term,
+      std::function<void(std::optional<sessions::server_status>)> done) = 0;
+  virtual void Promote(const std::string& group,
+                       const std::string& server,
+                       std::uint64_t token,
+                       std::function<void(store::promotion_status)> done) = 0;
+  /// Calls `OnTimer` after a pause, in place of an earlier request.
+  virtual void SetTimer(const std::string& group, core::milliseconds pause) = 0;
+  virtual std::uint64_t DrawNonce() = 0;
+  /// The change is over. @param leader empty if it was given up.
+  virtual void OnChangeDone(const std::string& group,
+                            const std::string& leader,
+                            core::term_number term) = 0;
+  virtual void NoteChange(const std::string& group,
+                          const char* event,
+                          const std::string& detail) = 0;
+};
+
+/// Limits of a change of primary.
+struct change_settings {
+  /// Name of this instance.
+  std::string holder;
+  /// A claim of another instance is respected for this long: the longest
+  /// promotion and its preparation.
+  core::milliseconds claim_time{2500};
+  /// Pause before a step is tried again.
+  core::milliseconds retry_pause{100};
+  /// Longest preparation before holds are given up.
+  core::milliseconds preparation{4000};
+  /// Longest wait for an accepted promotion.
+  core::milliseconds promotion{4000};
+};
+
+/// Makes another server the leader of one group without losing an acknowledged
+/// commit.
+///
+/// A commit is acknowledged once one replica has received it. All replicas but
+/// the candidate are held, so that only the candidate can confirm from then on;
+/// it may lead once it has received all that any held replica has. A replica
+/// that cannot be asked may hold commits alone; the change then waits, unless
+/// the replica is known to be gone and the candidate to have everything that
+/// was acknowledged before.
+///
+/// Every order is made under a token claimed in the store. A promotion that got
+/// no answer may be carried out late, so holds end only by a promotion or after
+/// a promotion under the same token was accepted.
+class primary_change {
+ public:
+  /// References must outlive the change.
+  primary_change(change_host& host,
+                 group_state& group,
+                 const change_settings& settings);
+
+  /// Starts, unless one is in progress.
+  void Start(change_reason reason);
+  bool IsActive() const { return step_ != step::kIdle; }
+  void OnTimer();
+
+ private:
+  enum class step : std::uint8_t {
+    kIdle,
+    kClaiming,
+    /// Asks all servers for their positions.
+    kAsking,
+    /// Holds all replicas but the candidate.
+    kHolding,
+    /// Waits for the candidate to have all that is held.
+    kComparing,
+    kPromoting,
+    /// Waits for the candidate to lead.
+    kFollowing,
+    /// Lifts the holds under an accepted token.
+    kLifting,
+  };
+  struct server_answer {
+    bool asked = false;
+    std::optional<sessions::server_status> status;
+  };
+  using answers = std::map<std::string, server_answer>;
+
+  void Claim();
+  void OnClaim(std::optional<group_claim> claim, core::milliseconds store_now);
+  void OnClaimWritten(const group_claim& claim, store::call_status status);
+  void Ask(step next);
+  void OnAnswer(std::uint64_t round,
+                const std::string& server,
+                std::optional<sessions::server_status> status);
+  void OnAllAnswered();
+  void ChooseCandidate();
+  void Compare();
+  bool MayConfirm(const std::string& server) const;
+  bool HasAllOf(const std::string& missing,
+                core::log_position candidate) const;
+  void Promote();
+  void OnPromoted(store::promotion_status status);
+  void Follow();
+  void Lift();
+  void GiveUp(const char* why);
+  void Again(const char* why);
+  void Finish(const std::string& leader);
+  bool LeaderAnswers() const;
+  void NoteLeader();
+  const sessions::server_status* StatusOf(const std::string& server) const;
+
+  change_host& host_;
+  group_state& group_;
+  const change_settings& settings_;
+  step step_ = step::kIdle;
+  change_reason reason_ = change_reason::kNone;
+  core::time_point started_;
+  core::time_point promoted_;
+  std::uint64_t round_ = 0;
+  std::uint64_t token_ = 0;
+  std::uint64_t nonce_ = 0;
+  core::term_number hold_term_ = 0;
+  /// Empty if no server leads.
+  std::string old_leader_;
+  bool leader_answered_ = false;
+  std::string candidate_;
+  answers answers_;
+  int waiting_answers_ = 0;
+  bool holds_ = false;
+  int promote_tries_ = 0;
+};
+
+}  // namespace plantaintiller::replication
--- a/plantaintiller/sessions/server_connection.h
+++ b/plantaintiller/sessions/server_connection.h
@@ -57,6 +57,8 @@
 /// What a session needs a connection for.
 struct connection_need {
   std::string group;
+  /// Server that alone will do; empty for any.
+  std::string server;
   /// Whether only the leader will do.
   bool leader = false;
   /// Servers that were tried in vain.
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -385,6 +385,9 @@
 }
 
 void session_engine::OnProved() {
+  if (replication::group_state* answering = host_.Group(route_->group)) {
+    answering->OnSuccess(server_);
+  }
   if (begin_failed_) {
     const bool broken = begin_failure_ == failure_code::kNoStatement;
     NoteServerFailure(begin_failure_);
@@ -422,8 +425,8 @@
   if (group != nullptr) {
     group->OnSuccess(server_);
   }
-  if (current_writes_ || IsCommit()) {
-    host_.OnWriteOutcome(route_->group, server_, true);
+  if (group != nullptr && (current_writes_ || IsCommit())) {
+    group->OnWriteOutcome(server_, true);
   }
   if (reply.succeeded && (reply.receipt.empty() || reply.receipt == "-")) {
     // Not the answer to this statement: an answer before it was lost.
@@ -467,14 +470,14 @@
   }
   switch (code) {
     case failure_code::kReadOnly:
-      group->OnNotLeader(server_);
+      group->OnNotLeader(server_, host_.Now());
       host_.OnNotLeader(route_->group, server_);
       break;
     case failure_code::kLagging:
       group->OnLagging(server_, host_.Now());
       break;
     default:
-      group->OnTrouble(server_, host_.Now());
+      group->OnBusy(server_, host_.Now());
       break;
   }
 }
@@ -519,12 +522,17 @@
          FailureName(reply.failure));
 }
 
-void session_engine::OnLost() {
+void session_engine::ReportTrouble(core::time_point sent) {
   replication::group_state* group =
       route_.has_value() ? host_.Group(route_->group) : nullptr;
   if (group != nullptr) {
-    group->OnTrouble(server_, host_.Now());
+    group->OnTrouble(server_, sent, host_.Now());
+    host_.OnServerTrouble(route_->group, server_);
   }
+}
+
+void session_engine::OnLost() {
+  ReportTrouble(phase_ == phase::kIdle ? host_.Now() : sent_);
   LeaveConnection(leave_kind::kBroken);
   switch (phase_) {
     case phase::kIdle:
@@ -608,9 +616,7 @@
       }
       return;
     case phase::kProving:
-      if (replication::group_state* group = host_.Group(route_->group)) {
-        group->OnTrouble(server_, host_.Now());
-      }
+      ReportTrouble(sent_);
       LeaveConnection(leave_kind::kBroken);
       Retry("proof_timeout", !NeedsLeader());
       return;
@@ -621,12 +627,11 @@
 }
 
 void session_engine::OnRunningTimeout() {
-  if (current_writes_ || IsCommit()) {
-    host_.OnWriteOutcome(route_->group, server_, false);
-  }
-  if (replication::group_state* group = host_.Group(route_->group)) {
-    group->OnTrouble(server_, host_.Now());
+  replication::group_state* group = host_.Group(route_->group);
+  if (group != nullptr && (current_writes_ || IsCommit())) {
+    group->OnWriteOutcome(server_, false);
   }
+  ReportTrouble(sent_);
   LeaveConnection(leave_kind::kBroken);
   if (IsCommit()) {
     transaction_ = transaction::kNone;
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -114,6 +114,7 @@
   void OnSuccess(const server_reply& reply);
   void OnFailure(const server_reply& reply);
   void OnCommitFailure(const server_reply& reply, bool not_run);
+  void ReportTrouble(core::time_point sent);
   void NoteServerFailure(failure_code code);
   void Retry(const char* reason, bool exclude);
   void PauseThenRetry(core::milliseconds pause);
--- a/plantaintiller/sessions/session_host.h
+++ b/plantaintiller/sessions/session_host.h
@@ -52,10 +52,9 @@
   /// A server refused as leader: the directory should be read anew.
   virtual void OnNotLeader(const std::string& group,
                            const std::string& server) = 0;
-  /// A write got no answer in time, or one at once.
-  virtual void OnWriteOutcome(const std::string& group,
-                              const std::string& server,
-                              bool answered) = 0;
+  /// A server failed to answer: its leader may have to be replaced.
+  virtual void OnServerTrouble(const std::string& group,
+                               const std::string& server) = 0;
   virtual void Note(const request_note& note) = 0;
   /// Counts an answered statement. @param failure null on success.
   virtual void Count(const core::route* route,
--- a/plantaintiller/store/row_store.h
+++ b/plantaintiller/store/row_store.h
@@ -53,6 +53,8 @@
   std::vector<row> rows;
   /// Newest version of the store.
   row_version newest = 0;
+  /// The store's steady clock.
+  core::milliseconds now{0};
   /// Whether more rows stand behind the last one.
   bool truncated = false;
 };
@@ -64,8 +66,10 @@
  public:
   virtual ~row_store() = default;
   /// Reads the rows of a table's part from a key on.
-  /// @param from first key; @param done called later, once.
+  /// @param part may be empty; @param from first key; @param done called
+  /// later, once.
   virtual void Read(const std::string& table,
+                    const std::string& part,
                     const std::string& from,
                     rows_done done) = 0;
   /// Waits for changes of a table. @param after version already known.
