Proofs come only from plain transactions; callers accepted once routes are known

Ruled out: proofs by writes and plain transactions, which a former leader refuses. Change: as the titles say. Test: session_engine_test, failed before.

--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -156,7 +156,8 @@
   void ApplyServers(const std::vector<replication::server_entry>& servers,
                     store::row_version version);
   http::response OperatorAnswer(const std::string& target);
-  void Listen();
+  void ListenForCallers();
+  void ListenForOperators();
   void Accept();
   void Stop(int signal);
   void CloseIdleCallers();
@@ -199,7 +200,7 @@
       .With("zone", settings_.zone)
       .With("callers", settings_.callers.host + ":" +
                            std::to_string(settings_.callers.port));
-  Listen();
+  ListenForOperators();
   readiness_.Listen();
   signals_.async_wait([this](error_code failed, int signal) {
     if (!failed) {
@@ -214,7 +215,11 @@
   return 0;
 }
 
-void gateway::implementation::Listen() {
+void gateway::implementation::ListenForCallers() {
+  // Before it knows the routes it could only refuse what may well be allowed.
+  if (acceptor_.is_open() || !IsReady()) {
+    return;
+  }
   const tcp::endpoint endpoint(asio::ip::make_address(settings_.callers.host),
                                settings_.callers.port);
   acceptor_.open(endpoint.protocol());
@@ -222,6 +227,10 @@
   acceptor_.bind(endpoint);
   acceptor_.listen(kBacklog);
   Accept();
+  log_line(log_, "instance", "ready").With("instance", settings_.instance);
+}
+
+void gateway::implementation::ListenForOperators() {
   if (settings_.operators.port != 0) {
     http::server_settings operators = ReadinessSettings(settings_);
     operators.host = settings_.operators.host;
@@ -369,6 +378,7 @@
   for (const auto& [name, group] : routes_.groups) {
     EnsureGroup(name).pool.SetLimit(group.max_connections);
   }
+  ListenForCallers();
 }
 
 void gateway::implementation::OnServers(
@@ -401,6 +411,7 @@
     keeper_.Evaluate(name);
   }
   servers_known_ = true;
+  ListenForCallers();
 }
 
 instance_view gateway::implementation::View() const {
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -321,6 +321,8 @@
     host_.Servers().AppendRollback(out);
     outstanding_.push_back(reply_role::kRollback);
   }
+  // A read-only transaction succeeds at a server that has lost the lead.
+  proves_lead_ = !read_only;
   phase_ = phase::kProving;
   sent_ = host_.Now();
   host_.SetTimer(sent_ + settings_.proof_timeout);
@@ -396,10 +398,7 @@
     return;
   }
   replication::group_state* group = host_.Group(route_->group);
-  const bool at_replica = HasTransaction() && transaction_read_only_ &&
-                          route_->kind != core::consistency::kPrimary &&
-                          group != nullptr && group->Leader() != server_;
-  if (group != nullptr && proved_.has_value() && !at_replica) {
+  if (group != nullptr && proved_.has_value() && proves_lead_) {
     group->Proofs().OnProof(sent_, *proved_);
     group->OnLeaderSeen(server_, proved_->entry_term, host_.Now());
   }
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -154,6 +154,7 @@
   server_connection* connection_ = nullptr;
   std::string server_;
   std::deque<reply_role> outstanding_;
+  bool proves_lead_ = false;
   bool begin_failed_ = false;
   failure_code begin_failure_ = failure_code::kOther;
   std::optional<core::log_position> proved_;
--- /dev/null
+++ b/tests/sessions/session_engine_test.cpp
@@ -0,0 +1,258 @@
+#include "plantaintiller/sessions/session_engine.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/sessions/session_fixture.h"
+
+namespace plantaintiller::sessions {
+
+using core::milliseconds;
+
+TEST_CASE("a name without a route is refused at the start") {
+  session_fixture session("absent");
+  CHECK(session.host.closed);
+}
+
+TEST_CASE("values, prepared names and the start of a transaction are local") {
+  session_fixture session("primary");
+  for (const char* line : {"QUERY 1 SET x 5", "QUERY 2 PREPARE p READ q",
+                           "QUERY 3 BEGIN", "QUERY 4 ROLLBACK"}) {
+    session.Say(line);
+    CHECK_FALSE(session.host.need.has_value());
+    CHECK(session.host.TakeReplies().starts_with("COMPLETE -\r\nREADY "));
+  }
+  session.Say("QUERY 5 DEALLOC q");
+  CHECK(session.host.TakeReplies().starts_with("ERROR NOSTMT q"));
+}
+
+TEST_CASE("a read of a primary route proves the lead, then asks for it") {
+  session_fixture session("primary");
+  session.Say("QUERY 7 READ 1a4");
+  REQUIRE(session.host.need.has_value());
+  CHECK(session.host.need->leader);
+  fake_connection& leader = session.Grant("a");
+  CHECK(leader.TakeSent() == "QUERY - BEGIN\r\nQUERY - ROLLBACK\r\n");
+  session.Answer({"COMPLETE -", "READY T 3.5", "COMPLETE -", "READY I 3.5"});
+  CHECK(leader.TakeSent() == "QUERY 7 WAITLSN 3.5 READ 1a4\r\n");
+  session.Answer({"DATAROW v", "COMPLETE r.1", "READY I 3.6"});
+  CHECK(session.host.TakeReplies() ==
+        "DATAROW v\r\nCOMPLETE r.1\r\nREADY I 3.6\r\n");
+  CHECK(leader.left == leave_kind::kClean);
+}
+
+TEST_CASE("a server that lost the lead gets no read of a primary route") {
+  session_fixture session("primary");
+  session.Say("QUERY 7 READ 1a4");
+  fake_connection& former = session.Grant("a");
+  former.TakeSent();
+  session.Answer({"ERROR READONLY a", "READY I 3.5", "ERROR MALFORMED x",
+                  "READY I 3.5"});
+  CHECK(former.TakeSent().empty());
+  CHECK(session.host.not_leader == std::vector<std::string>{"a"});
+  CHECK(session.host.replies.empty());
+}
+
+TEST_CASE("a bounded read goes anywhere with the oldest position that will do") {
+  session_fixture session("bounded");
+  session.host.group.Proofs().OnProof(session.host.now, {3, 5});
+  session.Pass(milliseconds(1000));
+  session.host.group.Proofs().OnProof(session.host.now, {3, 9});
+  session.Say("QUERY 7 READ 1a4");
+  CHECK_FALSE(session.host.need->leader);
+  CHECK(session.Grant("b").TakeSent() == "QUERY 7 WAITLSN 3.5 READ 1a4\r\n");
+}
+
+TEST_CASE("without a recent proof a bounded read goes to the leader") {
+  session_fixture session("bounded");
+  session.host.group.Proofs().OnProof(session.host.now, {3, 5});
+  session.Pass(milliseconds(1501));
+  session.Say("QUERY 7 READ 1a4");
+  CHECK(session.host.need->leader);
+}
+
+TEST_CASE("a read sees the session's own commit") {
+  session_fixture session("own");
+  session.host.group.Proofs().OnProof(session.host.now, {3, 5});
+  session.Say("QUERY 1 WRITE k v");
+  CHECK(session.host.need->leader);
+  CHECK(session.Grant("a").TakeSent() == "QUERY 1 WRITE k v\r\n");
+  session.Answer({"COMPLETE r.1", "READY I 3.8"});
+  session.Say("QUERY 2 READ k");
+  CHECK_FALSE(session.host.need->leader);
+  CHECK(session.Grant("b").TakeSent() == "QUERY 2 WAITLSN 3.8 READ k\r\n");
+}
+
+TEST_CASE("a read-only transaction at a server believed to lead proves nothing") {
+  // Seen as STALE on hunt-cb39-11: the server had lost the lead, and its log
+  // passed as a proof for a second and a half.
+  session_fixture session("bounded");
+  session.host.group.Proofs().OnProof(session.host.now, {1, 5});
+  const core::time_point first = session.host.group.Proofs().Newest();
+  session.Pass(milliseconds(400));
+  session.Say("QUERY 1 BEGIN READ");
+  session.Say("QUERY 2 READ k");
+  fake_connection& believed = session.Grant("a");
+  CHECK(believed.TakeSent() == "QUERY - WAITLSN 1.5 BEGIN READ\r\n");
+  session.Answer({"COMPLETE -", "READY T 1.63"});
+  CHECK(session.host.group.Proofs().Newest() == first);
+}
+
+TEST_CASE("a lost answer to a write is in doubt at once") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 WRITE k v");
+  session.Grant("a");
+  session.engine.OnLost();
+  CHECK(session.host.TakeReplies().starts_with("ERROR INDOUBT"));
+  CHECK(session.host.trouble.size() == 1);
+}
+
+TEST_CASE("a read is repeated elsewhere when its answer is lost") {
+  session_fixture session("bounded");
+  session.host.group.Proofs().OnProof(session.host.now, {3, 5});
+  session.Say("QUERY 7 READ k");
+  session.Grant("b");
+  session.engine.OnLost();
+  CHECK(session.host.replies.empty());
+  REQUIRE(session.host.need.has_value());
+  CHECK(session.host.need->excluded == std::vector<std::string>{"b"});
+}
+
+TEST_CASE("a write that was not run is tried again") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 WRITE k v");
+  session.Grant("a");
+  session.Answer({"ERROR BUSY full", "READY I 3.8"});
+  CHECK(session.host.replies.empty());
+  session.Pass(milliseconds(30));
+  session.engine.OnTimer();
+  CHECK(session.host.need.has_value());
+}
+
+TEST_CASE("a write on a silent connection proves it alive first") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 WRITE k v");
+  session.host.now += milliseconds(2000);
+  session.connections.push_back(std::make_unique<fake_connection>("a"));
+  fake_connection& silent = *session.connections.back();
+  silent.last_heard = session.host.now - milliseconds(1000);
+  session.engine.OnConnection(silent);
+  CHECK(silent.TakeSent() == "QUERY - BEGIN\r\nQUERY - ROLLBACK\r\n");
+}
+
+TEST_CASE("a transaction runs on one connection from its first statement") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 BEGIN");
+  session.host.TakeReplies();
+  session.Say("QUERY 2 WRITE k v");
+  fake_connection& leader = session.Grant("a");
+  CHECK(leader.TakeSent() == "QUERY - BEGIN\r\n");
+  session.Answer({"COMPLETE -", "READY T 3.5"});
+  CHECK(leader.TakeSent() == "QUERY 2 WRITE k v\r\n");
+  session.Answer({"COMPLETE r.1", "READY T 3.5"});
+  CHECK_FALSE(leader.left.has_value());
+  CHECK(session.host.TakeReplies() == "COMPLETE r.1\r\nREADY T 3.5\r\n");
+  session.Say("QUERY 3 COMMIT");
+  CHECK(leader.TakeSent() == "QUERY 3 COMMIT\r\n");
+  session.Answer({"COMPLETE r.2", "READY I 3.6"});
+  CHECK(session.host.TakeReplies() == "COMPLETE r.2\r\nREADY I 3.6\r\n");
+  CHECK(leader.left == leave_kind::kClean);
+}
+
+TEST_CASE("a transaction that lost its server is aborted, truthfully") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 BEGIN");
+  session.Say("QUERY 2 WRITE k v");
+  session.Grant("a");
+  session.Answer({"COMPLETE -", "READY T 3.5", "COMPLETE r.1", "READY T 3.5"});
+  session.host.TakeReplies();
+  session.engine.OnLost();
+  CHECK(session.host.replies.empty());
+  session.Say("QUERY 3 COMMIT");
+  CHECK(session.host.TakeReplies().starts_with("ERROR ABORTED"));
+  CHECK_FALSE(session.engine.InTransaction());
+}
+
+TEST_CASE("a lost answer to a commit is in doubt only if it wrote") {
+  for (const bool writes : {true, false}) {
+    session_fixture session("primary");
+    session.Say("QUERY 1 BEGIN");
+    session.Say(writes ? "QUERY 2 WRITE k v" : "QUERY 2 READ k");
+    session.Grant("a");
+    session.Answer(
+        {"COMPLETE -", "READY T 3.5", "COMPLETE r.1", "READY T 3.5"});
+    session.Say("QUERY 3 COMMIT");
+    session.host.TakeReplies();
+    session.engine.OnLost();
+    CHECK(session.host.TakeReplies().starts_with(writes ? "ERROR INDOUBT"
+                                                        : "ERROR ABORTED"));
+  }
+}
+
+TEST_CASE("values of another session are cleared before a statement") {
+  session_fixture session("bounded");
+  session.host.group.Proofs().OnProof(session.host.now, {3, 5});
+  session.Say("QUERY 1 SET x 5");
+  session.Say("QUERY 2 READ k");
+  session.connections.push_back(std::make_unique<fake_connection>("b"));
+  fake_connection& used = *session.connections.back();
+  used.last_heard = session.host.now;
+  used.Memory().values = {{"y", "1"}};
+  used.Memory().prepared = {"r1"};
+  session.engine.OnConnection(used);
+  CHECK(used.TakeSent() ==
+        "QUERY - RESET\r\nQUERY - SET x 5\r\nQUERY 2 WAITLSN 3.5 READ k\r\n");
+  CHECK(used.Memory().prepared.empty());
+}
+
+TEST_CASE("an answer without a receipt is no success") {
+  session_fixture session("bounded");
+  session.host.group.Proofs().OnProof(session.host.now, {3, 5});
+  session.Say("QUERY 2 READ k");
+  session.Grant("b");
+  session.Answer({"COMPLETE -", "READY I 3.5"});
+  CHECK(session.host.replies.empty());
+  CHECK(session.connections.back()->left == leave_kind::kBroken);
+}
+
+TEST_CASE("a caller that leaves inside a transaction has it rolled back") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 BEGIN");
+  session.Say("QUERY 2 WRITE k v");
+  session.Grant("a");
+  session.Answer({"COMPLETE -", "READY T 3.5", "COMPLETE r.1", "READY T 3.5"});
+  session.engine.OnCallerGone();
+  CHECK(session.connections.back()->left == leave_kind::kRollBack);
+}
+
+TEST_CASE("an idle transaction is ended and its next statement aborted") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 BEGIN");
+  session.Say("QUERY 2 READ k");
+  session.Grant("a");
+  session.Answer({"COMPLETE -", "READY T 3.5", "COMPLETE r.1", "READY T 3.5"});
+  session.host.TakeReplies();
+  session.engine.OnTimer();
+  CHECK(session.connections.back()->left == leave_kind::kRollBack);
+  session.Say("QUERY 3 READ k");
+  CHECK(session.host.TakeReplies().starts_with("ERROR ABORTED idle"));
+  session.Say("QUERY 4 ROLLBACK");
+  CHECK(session.host.TakeReplies().starts_with("COMPLETE -\r\nREADY I"));
+}
+
+TEST_CASE("a route that is dropped is refused from the next transaction on") {
+  session_fixture session("primary");
+  session.host.routes.routes.erase("primary");
+  session.host.routes.version = 2;
+  session.Say("QUERY 1 READ k");
+  CHECK(session.host.TakeReplies().starts_with("ERROR NODB"));
+}
+
+TEST_CASE("a statement that finds no server is refused as not run") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 WRITE k v");
+  session.host.now = *session.host.timer;
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().starts_with("ERROR BUSY"));
+}
+
+}  // namespace plantaintiller::sessions
