Concurrency limit per server, newest first under overload, short patience

Change: AIMD limit of single statements per server, adaptive LIFO at the pool, patience of half the objective unless a leader is awaited.

--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -21,8 +21,13 @@
 /// Connections opened to one server at a time: each takes a slot there.
 constexpr int kMaxOpening = 2;
 /// Idle time after which a connection beyond the first is closed: long against
-/// the pauses of one caller, short against a change of load.
-constexpr core::milliseconds kIdleLimit{4000};
+/// the pauses of one caller, short against a change of load;
+/// instances that lack one ask for it before.
+constexpr core::milliseconds kIdleLimit{12000};
+/// When the oldest of a class has waited this long, the newest are served
+/// first: they can still be answered in time, the oldest mostly cannot
+/// (adaptive LIFO, Maurer, 2015).
+constexpr core::milliseconds kOverloadedWait{80};
 
 }  // namespace
 
@@ -51,12 +56,21 @@
 
 void connection_pool::Acquire(const sessions::connection_need& need,
                               connection_taker& taker) {
-  auto place = waiting_.end();
-  while (place != waiting_.begin() &&
-         std::prev(place)->need.priority > need.priority) {
-    --place;
-  }
-  waiting_.insert(place, {need, &taker});
+  const core::time_point now = core::clock::now();
+  const auto same = std::find_if(
+      waiting_.begin(), waiting_.end(), [&need](const request& each) {
+        return each.need.priority >= need.priority;
+      });
+  const bool overloaded = same != waiting_.end() &&
+                          same->need.priority == need.priority &&
+                          now - same->since > kOverloadedWait;
+  const auto place =
+      overloaded ? same
+                 : std::find_if(same, waiting_.end(),
+                                [&need](const request& each) {
+                                  return each.need.priority > need.priority;
+                                });
+  waiting_.insert(place, {need, &taker, now});
   Schedule();
 }
 
@@ -112,11 +126,11 @@
       ++each;
       continue;
     }
-    connection_taker* taker = each->taker;
+    const request granted = *each;
     each = waiting_.erase(each);
-    CountRunning(link->Server(), 1);
-    link->Lend(taker->Listener());
-    taker->OnConnection(*link);
+    OnLent(*link, granted.need);
+    link->Lend(granted.taker->Listener());
+    granted.taker->OnConnection(*link);
   }
   OpenWanted(wanted);
 }
@@ -132,6 +146,9 @@
     order.push_back(group_.Leader());
   }
   for (const std::string& id : order) {
+    if (!MayRun(need, id)) {
+      continue;
+    }
     server_links& links = servers_[id];
     if (!links.idle.empty()) {
       server_link* link = links.idle.back();
@@ -143,9 +160,43 @@
   return nullptr;
 }
 
-void connection_pool::CountRunning(const std::string& server, int change) {
-  if (replication::group_state::server* found = group_.Find(server)) {
-    found->running = std::max(0, found->running + change);
+bool connection_pool::MayRun(const sessions::connection_need& need,
+                             const std::string& server) {
+  const replication::group_state::server* found = group_.Find(server);
+  // Statements of transactions follow their own pace, and questions to servers
+  // must not wait behind callers.
+  return found == nullptr || need.transaction || !need.server.empty() ||
+         found->singles < found->limit.Limit();
+}
+
+void connection_pool::OnLent(server_link& link,
+                             const sessions::connection_need& need) {
+  const bool single = !need.transaction && need.server.empty();
+  lent_[&link] = {!single, core::clock::now()};
+  if (replication::group_state::server* found = group_.Find(link.Server())) {
+    found->running += 1;
+    found->singles += single ? 1 : 0;
+  }
+}
+
+void connection_pool::OnLeft(server_link& link, bool answered) {
+  const auto lent = lent_.find(&link);
+  if (lent == lent_.end()) {
+    return;
+  }
+  const use used = lent->second;
+  lent_.erase(lent);
+  replication::group_state::server* found = group_.Find(link.Server());
+  if (found == nullptr) {
+    return;
+  }
+  found->running = std::max(0, found->running - 1);
+  if (!used.transaction) {
+    found->singles = std::max(0, found->singles - 1);
+    if (answered) {
+      found->limit.OnAnswer(core::clock::now() - used.since,
+                            replication::RoundTrip(found->away));
+    }
   }
 }
 
@@ -198,7 +249,7 @@
     links.opening -= 1;
     links.refusals = 0;
   } else if (before == link_phase::kLent) {
-    CountRunning(link.Server(), -1);
+    OnLeft(link, true);
   }
   if (group_.Find(link.Server()) == nullptr) {
     link.Close();
@@ -250,7 +301,7 @@
   if (before == link_phase::kOpening) {
     links.opening -= 1;
   } else if (before == link_phase::kLent) {
-    CountRunning(server, -1);
+    OnLeft(link, false);
   }
   std::erase(links.idle, &link);
   // Freed last: `link` belongs to it.
--- a/plantaintiller/gateway/connection_pool.h
+++ b/plantaintiller/gateway/connection_pool.h
@@ -73,6 +73,12 @@
   struct request {
     sessions::connection_need need;
     connection_taker* taker = nullptr;
+    core::time_point since;
+  };
+  /// What a lent connection is used for.
+  struct use {
+    bool transaction = false;
+    core::time_point since;
   };
   struct server_links {
     std::vector<std::shared_ptr<server_link>> all;
@@ -87,7 +93,10 @@
   void Dispatch();
   server_link* FindIdle(const sessions::connection_need& need,
                         std::map<std::string, int>& wanted);
-  void CountRunning(const std::string& server, int change);
+  bool MayRun(const sessions::connection_need& need,
+              const std::string& server);
+  void OnLent(server_link& link, const sessions::connection_need& need);
+  void OnLeft(server_link& link, bool answered);
   void OpenWanted(const std::map<std::string, int>& wanted);
   void ArmWake(core::time_point when);
   void ArmTrim();
@@ -100,6 +109,7 @@
   int limit_ = 16;
   std::map<std::string, server_links> servers_;
   std::list<request> waiting_;
+  std::map<server_link*, use> lent_;
   bool scheduled_ = false;
   boost::asio::steady_timer wake_;
   core::time_point wake_at_;
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -5,22 +5,21 @@
 
 namespace plantaintiller::replication {
 
-namespace {
-
-/// Typical round trips, for ordering only: measured ones are close to these on
-/// both users' sites.
-double RoundTripMs(distance away) {
+core::duration RoundTrip(distance away) {
+  // Close to those of both users' sites.
   switch (away) {
     case distance::kSameZone:
-      return 0.5;
+      return std::chrono::microseconds(500);
     case distance::kSameRegion:
-      return 2.0;
+      return core::milliseconds(2);
     case distance::kOtherRegion:
-      return 17.0;
+      return core::milliseconds(17);
   }
-  return 17.0;
+  return core::milliseconds(17);
 }
 
+namespace {
+
 /// Cost of each statement that stands before this one at a server; close to
 /// the mean work of a read on the users' sites.
 constexpr double kStatementMs = 15.0;
@@ -32,7 +31,8 @@
 double CostOf(const group_state::server& each,
               bool leads,
               core::time_point now) {
-  double cost = RoundTripMs(each.away);
+  double cost =
+      std::chrono::duration<double, std::milli>(RoundTrip(each.away)).count();
   cost += kStatementMs * each.running / std::max(1, each.entry.slots);
   if (leads) {
     cost += kLeaderPenaltyMs;
@@ -209,6 +209,7 @@
 void group_state::OnBusy(const std::string& server, core::time_point now) {
   if (group_state::server* found = Find(server)) {
     found->avoid_until = now + kTroublePause;
+    found->limit.OnRefused();
   }
 }
 
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "plantaintiller/core/time.h"
+#include "plantaintiller/replication/concurrency_limit.h"
 #include "plantaintiller/replication/freshness.h"
 
 namespace plantaintiller::replication {
@@ -30,6 +31,9 @@
 /// How far an availability zone is from this instance.
 enum class distance : std::uint8_t { kSameZone, kSameRegion, kOtherRegion };
 
+/// Typical round trip over a distance.
+core::duration RoundTrip(distance away);
+
 /// What this instance believes of one database group: its servers, which one
 /// leads, how loaded each is, and how fresh reads can be proved.
 class group_state {
@@ -38,8 +42,11 @@
   struct server {
     server_entry entry;
     distance away = distance::kSameZone;
-    /// Statements that this instance runs there now.
+    /// Connections that this instance uses there now.
     int running = 0;
+    /// Those of them that run single statements.
+    int singles = 0;
+    concurrency_limit limit;
     /// Not chosen for reads before this time, unless nothing else is left.
     core::time_point avoid_until;
     /// Failures in a row without a success between.
--- a/plantaintiller/sessions/server_connection.h
+++ b/plantaintiller/sessions/server_connection.h
@@ -61,6 +61,8 @@
   std::string server;
   /// Whether only the leader will do.
   bool leader = false;
+  /// Whether a transaction will hold the connection.
+  bool transaction = false;
   /// Servers that were tried in vain.
   std::vector<std::string> excluded;
   int priority = 0;
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "plantaintiller/replication/leader_watch.h"
+
 namespace plantaintiller::sessions {
 
 namespace {
@@ -248,14 +250,29 @@
   connection_need need;
   need.group = route_->group;
   need.leader = NeedsLeader();
+  need.transaction = HasTransaction();
   need.excluded = excluded_;
   need.priority = route_->priority;
   need.deadline = deadline_;
   phase_ = phase::kAcquiring;
-  host_.SetTimer(deadline_);
+  host_.SetTimer(std::max(host_.Now(), PatienceEnd()));
   host_.Acquire(need);
 }
 
+bool session_engine::AwaitsLeader() const {
+  replication::group_state* group = host_.Group(route_->group);
+  return group != nullptr && (group->LeaderlessSince().has_value() ||
+                              replication::leader_watch::IsSuspected(*group));
+}
+
+core::time_point session_engine::PatienceEnd() const {
+  // A change of leader ends within the time of a statement, mostly; a full
+  // queue is better met by returning later.
+  return AwaitsLeader()
+             ? deadline_
+             : std::min(deadline_, arrived_ + route_->latency_objective / 2);
+}
+
 int session_engine::AppendSetUp(std::string& out) {
   server_codec& codec = host_.Servers();
   connection_memory& memory = connection_->Memory();
@@ -564,7 +581,7 @@
 void session_engine::Retry(const char* reason, bool exclude) {
   last_reason_ = reason;
   Note("retry", reason);
-  if (attempts_ >= settings_.max_attempts || host_.Now() >= deadline_) {
+  if (attempts_ >= settings_.max_attempts || host_.Now() >= PatienceEnd()) {
     GiveUp(failure_code::kBusy, reason);
     return;
   }
@@ -595,6 +612,10 @@
       }
       return;
     case phase::kAcquiring:
+      if (AwaitsLeader() && host_.Now() < deadline_) {
+        host_.SetTimer(deadline_);
+        return;
+      }
       host_.CancelAcquire();
       GiveUp(failure_code::kBusy, last_reason_);
       return;
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -103,6 +103,10 @@
   bool HasTransaction() const { return transaction_ != transaction::kNone; }
 
   void StartAttempt();
+  /// Whether the group has no leader, or one that does not answer.
+  bool AwaitsLeader() const;
+  /// Until when the request waits for a connection.
+  core::time_point PatienceEnd() const;
   std::optional<core::log_position> PositionForRead() const;
   int AppendSetUp(std::string& out);
   void Prove(std::string out, bool keep_open, bool read_only,
