--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -21,9 +21,9 @@
 /// Connections opened to one server at a time: each takes a slot there.
 constexpr int kMaxOpening = 2;
 /// Idle time after which a connection beyond the first is closed: long against
-/// the pauses of one caller, short against a change of load;
-/// instances that lack one ask for it before.
-constexpr core::milliseconds kIdleLimit{12000};
+/// the pauses of one caller. Servers count the connections of a machine without
+/// power for 3 s more, so that few open ones leave room for its successor.
+constexpr core::milliseconds kIdleLimit{2000};
 /// When the oldest of a class has waited this long, the newest are served
 /// first: they can still be answered in time, the oldest mostly cannot
 /// (adaptive LIFO, Maurer, 2015).
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -270,7 +270,7 @@
   // queue is better met by returning later.
   return AwaitsLeader()
              ? deadline_
-             : std::min(deadline_, arrived_ + route_->latency_objective / 2);
+             : std::min(deadline_, arrived_ + route_->latency_objective);
 }
 
 int session_engine::AppendSetUp(std::string& out) {
