Model of the change of primary; holds repeated, double failures waited for

Ruled out: tokens (none shared), the comparison between held replicas. Change: servers gone lately are asked and held too; holds are repeated until the candidate leads; with a leader that answers the candidate must have all that it had after the holds; with none, an empty or unknown replica is waited for.

--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -204,8 +204,8 @@
   const core::time_point now = core::clock::now();
   core::time_point soonest = core::time_point::max();
   for (const auto& [id, count] : wanted) {
-    const replication::group_state::server* server = group_.Find(id);
-    if (server == nullptr) {
+    const std::string address = group_.AddressOf(id);
+    if (address.empty()) {
       continue;
     }
     server_links& links = servers_[id];
@@ -218,7 +218,7 @@
       link_target target;
       target.group = group_.Name();
       target.server = id;
-      if (!SplitAddress(server->entry.address, target.host, target.port)) {
+      if (!SplitAddress(address, target.host, target.port)) {
         break;
       }
       links.opening += 1;
@@ -251,7 +251,7 @@
   } else if (before == link_phase::kLent) {
     OnLeft(link, true);
   }
-  if (group_.Find(link.Server()) == nullptr) {
+  if (group_.AddressOf(link.Server()).empty()) {
     link.Close();
     return;
   }
--- /dev/null
+++ b/plantaintiller/model/change_world.cpp
@@ -0,0 +1,594 @@
+#include "plantaintiller/model/change_world.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "plantaintiller/model/event_queue.h"
+#include "plantaintiller/replication/leader_watch.h"
+
+namespace plantaintiller::model {
+
+namespace {
+
+using core::milliseconds;
+using replication::group_claim;
+
+constexpr const char* kGroup = "g";
+
+struct log_entry {
+  core::term_number term = 0;
+  int write = 0;
+  friend bool operator==(const log_entry&, const log_entry&) = default;
+};
+
+/// A backend server with its log.
+struct modeled_server {
+  std::string id;
+  core::term_number term = 1;
+  bool leads = false;
+  bool alive = true;
+  bool draining = false;
+  bool listed = true;
+  std::vector<log_entry> log;
+  core::term_number held_term = 0;
+  std::int64_t born = 1;
+  milliseconds lag{3};
+  core::time_point silent_since;
+
+  core::log_position Position() const {
+    return {log.empty() ? 0 : log.back().term, log.size()};
+  }
+};
+
+class world;
+
+/// An entry instance: the real decisions over modeled calls.
+class modeled_instance : public replication::change_host {
+ public:
+  modeled_instance(world& around, int number);
+
+  core::time_point Now() const override;
+  void ReadClaim(const std::string& group,
+                 std::function<void(std::optional<group_claim>, milliseconds)>
+                     done) override;
+  void WriteClaim(const std::string& group,
+                  const group_claim& claim,
+                  std::function<void(store::call_status)> done) override;
+  void Order(const std::string& group,
+             const std::string& server,
+             replication::server_order order,
+             core::term_number term,
+             std::function<void(std::optional<sessions::server_status>)> done)
+      override;
+  void Promote(const std::string& group,
+               const std::string& server,
+               std::uint64_t token,
+               std::function<void(store::promotion_status)> done) override;
+  void SetTimer(const std::string& group, milliseconds pause) override;
+  std::uint64_t DrawNonce() override;
+  void OnChangeDone(const std::string&,
+                    const std::string&,
+                    core::term_number) override {}
+  void NoteChange(const std::string&,
+                  const char*,
+                  const std::string&) override {}
+
+  /// Reads the list, proves the lead, and starts a change if one is needed.
+  void Work();
+  void ReadList();
+
+  world& around;
+  int number;
+  replication::group_state group{kGroup};
+  replication::change_settings settings;
+  replication::leader_watch_settings watch_settings;
+  replication::leader_watch watch{watch_settings};
+  std::unique_ptr<replication::primary_change> change;
+  bool frozen = false;
+  std::set<std::string> cut;
+  std::uint64_t timer = 0;
+  core::time_point not_before;
+};
+
+class world {
+ public:
+  world(const change_world_settings& given, std::uint64_t seed);
+  change_world_result Run();
+
+  int Draw(int most) {
+    return std::uniform_int_distribution<int>(0, most)(random);
+  }
+  bool Chance(int percent) { return Draw(99) < percent; }
+  milliseconds Hop() { return milliseconds(1 + Draw(8)); }
+  modeled_server* Find(const std::string& id);
+  modeled_server* Leader();
+  /// Runs a task on an instance, later if it is frozen.
+  void Deliver(modeled_instance& to, std::function<void()> task);
+
+  void Commit();
+  void Replicate(const std::string& to);
+  void ExecuteOrder(modeled_server& server,
+                    replication::server_order order,
+                    core::term_number term);
+  void ExecutePromotion(const std::string& id,
+                        std::uint64_t token,
+                        const std::string& holder,
+                        const std::function<void(store::promotion_status)>& done);
+  void CompletePromotion(const std::string& id);
+  void DrawFault();
+  void Crash(modeled_server& server, milliseconds span, bool empty);
+  void Acknowledge(int write);
+  void Broken(const std::string& text);
+  void Fault(const std::string& text);
+
+  const change_world_settings& settings;
+  std::mt19937_64 random;
+  event_queue queue;
+  std::vector<modeled_server> servers;
+  std::vector<std::unique_ptr<modeled_instance>> instances;
+  group_claim row;
+  std::uint64_t highest_token = 0;
+  std::map<std::uint64_t, std::string> token_holders;
+  int late_percent = 0;
+  int next_write = 1;
+  std::map<int, std::size_t> waiting;
+  std::set<int> acknowledged;
+  core::time_point last_acknowledged;
+  change_world_result result;
+};
+
+modeled_instance::modeled_instance(world& given, int which)
+    : around(given), number(which) {
+  settings.holder = "instance-" + std::to_string(which);
+  settings.faults = given.settings.faults;
+  change = std::make_unique<replication::primary_change>(*this, group, settings);
+}
+
+core::time_point modeled_instance::Now() const {
+  return around.queue.Now();
+}
+
+std::uint64_t modeled_instance::DrawNonce() {
+  return around.random() | 1U;
+}
+
+void modeled_instance::ReadClaim(
+    const std::string&,
+    std::function<void(std::optional<group_claim>, milliseconds)> done) {
+  around.result.store_calls += 1;
+  around.queue.After(around.Hop(), [this, done] {
+    const group_claim seen = around.row;
+    const auto now = core::ToMilliseconds(Now().time_since_epoch());
+    around.queue.After(around.Hop(), [this, done, seen, now] {
+      around.Deliver(*this, [done, seen, now] { done(seen, now); });
+    });
+  });
+}
+
+void modeled_instance::WriteClaim(
+    const std::string&,
+    const group_claim& claim,
+    std::function<void(store::call_status)> done) {
+  around.result.store_calls += 1;
+  const bool lost = around.Chance(around.late_percent);
+  const milliseconds delay =
+      lost && around.Chance(50) ? milliseconds(around.Draw(4000))
+                                : around.Hop();
+  around.queue.After(delay, [this, done, claim, lost] {
+    store::call_status status = store::call_status::kConflict;
+    if (around.row.version == claim.version) {
+      around.row = claim;
+      around.row.version += 1;
+      status = store::call_status::kDone;
+    }
+    if (!lost) {
+      around.Deliver(*this, [done, status] { done(status); });
+    }
+  });
+  if (lost) {
+    around.queue.After(milliseconds(800), [this, done] {
+      around.Deliver(*this, [done] { done(store::call_status::kUnknown); });
+    });
+  }
+}
+
+void modeled_instance::Order(
+    const std::string&,
+    const std::string& server,
+    replication::server_order order,
+    core::term_number term,
+    std::function<void(std::optional<sessions::server_status>)> done) {
+  around.result.orders += 1;
+  const bool late = order != replication::server_order::kStatus &&
+                    around.Chance(around.late_percent);
+  const bool reachable = !cut.contains(server);
+  const milliseconds delay = late ? milliseconds(2000 + around.Draw(8000))
+                                  : around.Hop();
+  if (reachable) {
+    around.queue.After(delay, [this, server, order, term, done, late] {
+      modeled_server* found = around.Find(server);
+      if (found == nullptr || !found->alive) {
+        return;
+      }
+      around.ExecuteOrder(*found, order, term);
+      if (late) {
+        return;
+      }
+      sessions::server_status status;
+      status.is_primary = found->leads;
+      status.term = found->term;
+      status.received = found->Position();
+      status.held_term = found->held_term;
+      around.queue.After(around.Hop(), [this, done, status] {
+        around.Deliver(*this, [done, status] { done(status); });
+      });
+    });
+  }
+  modeled_server* known = around.Find(server);
+  const bool answered = reachable && !late && known != nullptr && known->alive;
+  if (!answered) {
+    around.queue.After(milliseconds(250), [this, done] {
+      around.Deliver(*this, [done] { done(std::nullopt); });
+    });
+  }
+}
+
+void modeled_instance::Promote(
+    const std::string&,
+    const std::string& server,
+    std::uint64_t token,
+    std::function<void(store::promotion_status)> done) {
+  const bool lost = around.Chance(around.late_percent);
+  const milliseconds delay =
+      lost ? milliseconds(around.Draw(8000)) : around.Hop();
+  const std::string holder = settings.holder;
+  around.queue.After(delay, [this, server, token, holder, done, lost] {
+    around.ExecutePromotion(server, token, holder,
+                            [this, done, lost](store::promotion_status status) {
+                              if (!lost) {
+                                around.Deliver(*this,
+                                               [done, status] { done(status); });
+                              }
+                            });
+  });
+  if (lost) {
+    around.queue.After(milliseconds(1000), [this, done] {
+      around.Deliver(*this, [done] { done(store::promotion_status::kUnknown); });
+    });
+  }
+}
+
+void modeled_instance::SetTimer(const std::string&, milliseconds pause) {
+  const std::uint64_t mine = ++timer;
+  around.queue.After(pause, [this, mine] {
+    around.Deliver(*this, [this, mine] {
+      if (mine == timer) {
+        change->OnTimer();
+      }
+    });
+  });
+}
+
+void modeled_instance::ReadList() {
+  std::vector<replication::server_entry> listed;
+  for (const modeled_server& each : around.servers) {
+    if (!each.listed) {
+      continue;
+    }
+    replication::server_entry entry;
+    entry.id = each.id;
+    entry.group = kGroup;
+    entry.zone = "z";
+    entry.draining = each.draining;
+    entry.reports_leader = each.leads && each.alive;
+    entry.born_ms = each.born;
+    listed.push_back(entry);
+  }
+  group.OnList(listed, {{"z", replication::distance::kSameZone}}, Now());
+}
+
+void modeled_instance::Work() {
+  const std::string leader = group.Leader();
+  if (!leader.empty()) {
+    modeled_server* server = around.Find(leader);
+    const bool answers =
+        server != nullptr && server->alive && !cut.contains(leader);
+    if (!answers) {
+      group.OnTrouble(leader, Now(), Now());
+    } else if (server->leads) {
+      group.OnSuccess(leader);
+      group.Proofs().OnProof(Now(), server->Position());
+    } else {
+      group.OnNotLeader(leader, Now());
+    }
+  }
+  const auto reason = watch.ChangeNeeded(group, Now());
+  if (reason.has_value() && !change->IsActive() && Now() >= not_before) {
+    not_before = Now() + milliseconds(400);
+    change->Start(*reason);
+  }
+}
+
+world::world(const change_world_settings& given, std::uint64_t seed)
+    : settings(given), random(seed) {
+  for (int n = 0; n < given.servers; ++n) {
+    modeled_server made;
+    made.id = std::string(1, static_cast<char>('a' + n));
+    made.leads = n == 0;
+    servers.push_back(made);
+  }
+  for (int n = 0; n < given.instances; ++n) {
+    instances.push_back(std::make_unique<modeled_instance>(*this, n));
+  }
+  last_acknowledged = queue.Now();
+}
+
+modeled_server* world::Find(const std::string& id) {
+  for (modeled_server& each : servers) {
+    if (each.id == id) {
+      return &each;
+    }
+  }
+  return nullptr;
+}
+
+modeled_server* world::Leader() {
+  for (modeled_server& each : servers) {
+    if (each.leads && each.alive) {
+      return &each;
+    }
+  }
+  return nullptr;
+}
+
+void world::Deliver(modeled_instance& to, std::function<void()> task) {
+  if (!to.frozen) {
+    task();
+    return;
+  }
+  queue.After(milliseconds(100),
+              [this, &to, task = std::move(task)] { Deliver(to, task); });
+}
+
+void world::Commit() {
+  queue.After(settings.commit_pause, [this] { Commit(); });
+  modeled_server* leader = Leader();
+  if (leader == nullptr || waiting.size() > 3) {
+    return;
+  }
+  const int write = next_write++;
+  leader->log.push_back({leader->term, write});
+  waiting[write] = leader->log.size();
+  for (const modeled_server& each : servers) {
+    if (&each != leader) {
+      queue.After(each.lag + Hop(), [this, id = each.id] { Replicate(id); });
+    }
+  }
+}
+
+void world::Replicate(const std::string& to) {
+  modeled_server* replica = Find(to);
+  modeled_server* leader = Leader();
+  const bool receives = replica != nullptr && leader != nullptr &&
+                        replica != leader && replica->alive &&
+                        replica->held_term == 0 &&
+                        replica->term == leader->term;
+  if (!receives) {
+    return;
+  }
+  replica->log = leader->log;
+  std::vector<int> confirmed;
+  for (const auto& [write, size] : waiting) {
+    if (size <= replica->log.size() && replica->log[size - 1].write == write) {
+      confirmed.push_back(write);
+    }
+  }
+  for (const int write : confirmed) {
+    Acknowledge(write);
+  }
+}
+
+void world::Acknowledge(int write) {
+  waiting.erase(write);
+  acknowledged.insert(write);
+  result.acknowledged += 1;
+  result.longest_gap =
+      std::max(result.longest_gap,
+               core::ToMilliseconds(queue.Now() - last_acknowledged));
+  last_acknowledged = queue.Now();
+}
+
+void world::ExecuteOrder(modeled_server& server,
+                         replication::server_order order,
+                         core::term_number term) {
+  if (order == replication::server_order::kHold && term > server.term &&
+      !server.leads) {
+    server.held_term = std::max(server.held_term, term);
+  } else if (order == replication::server_order::kResume) {
+    server.held_term = 0;
+  }
+}
+
+void world::ExecutePromotion(
+    const std::string& id,
+    std::uint64_t token,
+    const std::string& holder,
+    const std::function<void(store::promotion_status)>& done) {
+  modeled_server* server = Find(id);
+  const auto [used, first] = token_holders.emplace(token, holder);
+  if (!first && used->second != holder) {
+    Broken("token " + std::to_string(token) + " used by " + used->second +
+           " and " + holder);
+  }
+  if (token < highest_token || server == nullptr || !server->alive) {
+    done(store::promotion_status::kSuperseded);
+    return;
+  }
+  highest_token = token;
+  done(store::promotion_status::kAccepted);
+  if (!server->leads) {
+    queue.After(settings.promotion_time, [this, id] { CompletePromotion(id); });
+  }
+}
+
+void world::CompletePromotion(const std::string& id) {
+  modeled_server* chosen = Find(id);
+  if (chosen == nullptr || !chosen->alive || chosen->leads) {
+    return;
+  }
+  core::term_number newest = 0;
+  for (const modeled_server& each : servers) {
+    newest = std::max(newest, each.term);
+  }
+  std::set<int> kept;
+  for (const log_entry& each : chosen->log) {
+    kept.insert(each.write);
+  }
+  for (const int write : acknowledged) {
+    if (!kept.contains(write)) {
+      Broken("acknowledged write " + std::to_string(write) + " not at " + id);
+      break;
+    }
+  }
+  for (modeled_server& each : servers) {
+    each.leads = false;
+    each.held_term = 0;
+    if (each.alive) {
+      each.term = newest + 1;
+      each.log = chosen->log;
+    }
+  }
+  chosen->leads = true;
+  waiting.clear();
+  result.promotions += 1;
+}
+
+void world::Crash(modeled_server& server, milliseconds span, bool empty) {
+  server.alive = false;
+  const std::string id = server.id;
+  queue.After(milliseconds(3600), [this, id] {
+    Find(id)->listed = Find(id)->alive;
+  });
+  queue.After(span, [this, id, empty] {
+    modeled_server* back = Find(id);
+    back->alive = true;
+    back->listed = true;
+    back->held_term = 0;
+    modeled_server* leader = Leader();
+    if (empty) {
+      back->log.clear();
+      back->born += 1;
+    }
+    if (leader != nullptr && leader != back) {
+      back->leads = false;
+      back->term = leader->term;
+    }
+  });
+}
+
+void world::DrawFault() {
+  modeled_server& server =
+      servers[static_cast<std::size_t>(Draw(settings.servers - 1))];
+  modeled_instance& instance =
+      *instances[static_cast<std::size_t>(Draw(settings.instances - 1))];
+  const milliseconds span(800 + Draw(6000));
+  const int kind = settings.planned_only ? 0 : Draw(7);
+  switch (kind) {
+    case 0:
+      if (modeled_server* leader = Leader()) {
+        Fault("leader " + leader->id + " drains");
+        leader->draining = true;
+        queue.After(milliseconds(9000), [this, id = leader->id] {
+          Find(id)->draining = false;
+        });
+      }
+      break;
+    case 1:
+      if (modeled_server* leader = Leader()) {
+        Fault("leader " + leader->id + " crashes");
+        Crash(*leader, span, false);
+      }
+      break;
+    case 2:
+      if (!server.leads && server.alive) {
+        Fault("replica " + server.id + " restarts empty");
+        Crash(server, milliseconds(300 + Draw(3000)), true);
+      }
+      break;
+    case 3:
+      Fault("replica " + server.id + " lags");
+      server.lag = milliseconds(200 + Draw(3000));
+      queue.After(span,
+                  [this, id = server.id] { Find(id)->lag = milliseconds(3); });
+      break;
+    case 4:
+      Fault("answers lost and orders late");
+      late_percent = 35;
+      queue.After(span, [this] { late_percent = 0; });
+      break;
+    case 5:
+      Fault(instance.settings.holder + " freezes");
+      instance.frozen = true;
+      queue.After(span, [&instance] { instance.frozen = false; });
+      break;
+    case 6:
+      Fault(instance.settings.holder + " cut from " + server.id);
+      instance.cut.insert(server.id);
+      queue.After(span, [&instance, id = server.id] { instance.cut.erase(id); });
+      break;
+    default:
+      if (server.alive) {
+        Fault("server " + server.id + " crashes");
+        Crash(server, span, false);
+      }
+      break;
+  }
+}
+
+void world::Broken(const std::string& text) {
+  result.violations.push_back(text);
+}
+
+void world::Fault(const std::string& text) {
+  const auto at = core::ToMilliseconds(queue.Now().time_since_epoch()) -
+                  milliseconds(std::chrono::hours(1));
+  result.faults.push_back(std::to_string(at.count()) + " ms: " + text);
+}
+
+change_world_result world::Run() {
+  std::function<void(modeled_instance&)> work = [&](modeled_instance& each) {
+    Deliver(each, [&each] { each.Work(); });
+    queue.After(milliseconds(90 + Draw(30)), [&work, &each] { work(each); });
+  };
+  std::function<void(modeled_instance&)> read = [&](modeled_instance& each) {
+    Deliver(each, [&each] { each.ReadList(); });
+    queue.After(milliseconds(1000), [&read, &each] { read(each); });
+  };
+  for (auto& each : instances) {
+    each->ReadList();
+    queue.After(milliseconds(Draw(100)), [&work, &each] { work(*each); });
+    queue.After(milliseconds(Draw(1000)), [&read, &each] { read(*each); });
+  }
+  Commit();
+  for (int n = 0; n < settings.fault_count; ++n) {
+    queue.After(milliseconds(1000 + Draw(static_cast<int>(
+                                        settings.length.count() * 2 / 3))),
+                [this] { DrawFault(); });
+  }
+  const core::time_point end = queue.Now() + settings.length;
+  queue.RunUntil(end);
+  return std::move(result);
+}
+
+}  // namespace
+
+change_world_result PlayChanges(const change_world_settings& settings,
+                                std::uint64_t seed) {
+  return world(settings, seed).Run();
+}
+
+}  // namespace plantaintiller::model
--- a/plantaintiller/replication/freshness.cpp
+++ b/plantaintiller/replication/freshness.cpp
@@ -37,6 +37,16 @@
   return lowest;
 }
 
+std::optional<core::log_position> freshness::NewestBefore(
+    core::time_point time) const {
+  for (std::size_t age = 0; age < count_; ++age) {
+    if (At(age).sent <= time) {
+      return At(age).position;
+    }
+  }
+  return std::nullopt;
+}
+
 core::time_point freshness::Newest() const {
   return count_ == 0 ? core::time_point{} : At(0).sent;
 }
--- a/plantaintiller/replication/freshness.h
+++ b/plantaintiller/replication/freshness.h
@@ -26,6 +26,10 @@
   std::optional<core::log_position> PositionFor(
       core::time_point not_before) const;
 
+  /// Position of the newest proof sent by a given time.
+  /// @return nothing if there is none that old.
+  std::optional<core::log_position> NewestBefore(core::time_point time) const;
+
   /// When the newest proof was sent; the epoch if there is none.
   core::time_point Newest() const;
 
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -118,14 +118,14 @@
 void group_state::RememberGone(const std::map<std::string, server>& next,
                                core::time_point now) {
   std::erase_if(gone_, [now](const auto& each) {
-    return now - each.second > kRememberGone;
+    return now - each.second.since > kRememberGone;
   });
   for (const auto& [id, each] : servers_) {
     const auto found = next.find(id);
     const bool restarted = found != next.end() &&
                            found->second.entry.born_ms != each.entry.born_ms;
     if (found == next.end() || restarted) {
-      gone_[id] = now;
+      gone_[id] = {each.entry, now};
     }
   }
 }
@@ -148,7 +148,17 @@
 std::optional<core::time_point> group_state::GoneSince(
     const std::string& server) const {
   const auto found = gone_.find(server);
-  return found == gone_.end() ? std::nullopt : std::optional(found->second);
+  return found == gone_.end() ? std::nullopt
+                              : std::optional(found->second.since);
+}
+
+std::string group_state::AddressOf(const std::string& server) const {
+  const auto listed = servers_.find(server);
+  if (listed != servers_.end()) {
+    return listed->second.entry.address;
+  }
+  const auto found = gone_.find(server);
+  return found == gone_.end() ? "" : found->second.entry.address;
 }
 
 void group_state::OnLeaderSeen(const std::string& server,
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -101,10 +101,16 @@
   const std::string& LastLeader() const { return last_leader_; }
   /// Since when no server leads; nothing while one does.
   std::optional<core::time_point> LeaderlessSince() const;
-  /// Servers that left the list lately, or lost their state, and since when.
-  const std::map<std::string, core::time_point>& GoneServers() const {
+  /// A server that left the list lately, or lost its state.
+  struct gone_server {
+    server_entry entry;
+    core::time_point since;
+  };
+  const std::map<std::string, gone_server>& GoneServers() const {
     return gone_;
   }
+  /// Where a server listens, listed or gone lately. @return empty if unknown.
+  std::string AddressOf(const std::string& server) const;
   /// Since when a server is known to be gone. @return nothing if it is not.
   std::optional<core::time_point> GoneSince(const std::string& server) const;
   /// Servers in the order in which a read should try them.
@@ -141,7 +147,7 @@
 
   std::string name_;
   std::map<std::string, server> servers_;
-  std::map<std::string, core::time_point> gone_;
+  std::map<std::string, gone_server> gone_;
   std::string last_leader_;
   core::time_point leaderless_since_;
   std::string leader_;
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -9,6 +9,10 @@
 
 /// Calls of one promotion without an answer before it is prepared anew.
 constexpr int kMaxPromoteTries = 6;
+/// Questions whether the candidate leads between two rounds of holds.
+constexpr int kHoldEvery = 4;
+/// Questions in a row for the candidate to catch up with the leader.
+constexpr int kMaxRounds = 12;
 /// Pause between questions whether the candidate leads: a tenth of the
 /// shortest promotion of the users' databases.
 constexpr core::milliseconds kFollowPause{30};
@@ -42,7 +46,12 @@
   }
   reason_ = reason;
   started_ = host_.Now();
-  old_leader_ = group_.LastLeader();
+  suspect_ = group_.LastLeader();
+  old_leader_ = suspect_;
+  leader_answered_ = false;
+  if (blocked_since_ == core::time_point()) {
+    blocked_since_ = started_;
+  }
   candidate_.clear();
   holds_ = false;
   promote_tries_ = 0;
@@ -58,9 +67,11 @@
       return;
     case step::kAsking:
     case step::kHolding:
-    case step::kComparing:
       Ask(step::kAsking);
       return;
+    case step::kComparing:
+      Ask(step::kComparing);
+      return;
     case step::kPromoting:
       Promote();
       return;
@@ -110,6 +121,11 @@
     GiveUp("claimed_by_another");
     return;
   }
+  if (settings_.faults.reuse_token && claim->token > 0) {
+    token_ = claim->token;
+    Ask(step::kAsking);
+    return;
+  }
   group_claim next = *claim;
   next.token = claim->token + 1;
   next.holder = settings_.holder;
@@ -154,14 +170,22 @@
       servers.push_back(id);
     }
   }
+  // A server that left the list may be back, and confirm commits, before the
+  // list shows it.
+  for (const auto& [id, gone] : group_.GoneServers()) {
+    if (group_.Find(id) == nullptr && id != old_leader_) {
+      servers.push_back(id);
+    }
+  }
   waiting_answers_ = static_cast<int>(servers.size());
   if (servers.empty()) {
     Again("no_servers");
     return;
   }
   for (const std::string& id : servers) {
-    const bool hold =
-        step_ == step::kHolding && id != candidate_ && id != old_leader_;
+    // Held again with each question: one that is back holds nothing.
+    const bool hold = step_ != step::kAsking && id != candidate_ &&
+                      id != old_leader_ && !settings_.faults.skip_holds;
     host_.Order(
         group_.Name(), id, hold ? server_order::kHold : server_order::kStatus,
         hold_term_,
@@ -204,6 +228,7 @@
       return;
     case step::kHolding:
       holds_ = true;
+      leader_after_holds_.reset();
       Compare();
       return;
     case step::kComparing:
@@ -239,9 +264,11 @@
   }
   NoteLeader();
   const group_state::server* leader = group_.Find(old_leader_);
-  const bool leader_stays =
-      leader_answered_ && leader != nullptr && !leader->entry.draining &&
-      reason_ != change_reason::kStuck && reason_ != change_reason::kGone;
+  const bool at_fault =
+      old_leader_ == suspect_ &&
+      (reason_ == change_reason::kStuck || reason_ == change_reason::kGone);
+  const bool leader_stays = leader_answered_ && leader != nullptr &&
+                            !leader->entry.draining && !at_fault;
   if (leader_stays && !holds_) {
     // Whoever seemed silent leads after all, or another has taken over.
     group_.OnLeaderSeen(old_leader_, StatusOf(old_leader_)->term, host_.Now());
@@ -269,15 +296,13 @@
     return;
   }
   candidate_ = best;
+  promote_tries_ = 0;
+  rounds_ = 0;
   hold_term_ = newest + 1;
-  for (const auto& [id, answer] : answers_) {
-    const bool unknown = !answer.status.has_value() && id != old_leader_ &&
-                         !HasAllOf(id, answers_[best].status->received);
-    if (unknown) {
-      // Holding the others now would stop commits for nothing.
-      Again("replica_unknown");
-      return;
-    }
+  if (IsReplicaUnknown(answers_[best].status->received)) {
+    // Holding the others now would stop commits for nothing.
+    Again("replica_unknown");
+    return;
   }
   Ask(step::kHolding);
 }
@@ -288,8 +313,13 @@
 
 bool primary_change::HasAllOf(const std::string& missing,
                               core::log_position candidate) const {
+  if (settings_.faults.ignore_unknown_replicas) {
+    return true;
+  }
   const std::optional<core::time_point> gone = group_.GoneSince(missing);
-  if (!gone.has_value()) {
+  const bool may_confirm_now =
+      group_.Find(missing) != nullptr && StatusOf(missing) == nullptr;
+  if (!gone.has_value() || may_confirm_now) {
     return false;
   }
   // With the leader's own word after the loss, or a proof sent after it: what
@@ -305,8 +335,57 @@
   return proved.has_value() && *proved <= candidate;
 }
 
+bool primary_change::HasAllThatLeaderHad(core::log_position candidate) const {
+  if (leader_answered_) {
+    // Everything acknowledged before the holds is within what the leader had
+    // after them; later commits are confirmed by the candidate alone.
+    return leader_after_holds_.has_value() && *leader_after_holds_ <= candidate;
+  }
+  const core::duration blocked = host_.Now() - blocked_since_;
+  const std::optional<core::log_position> settled =
+      group_.Proofs().NewestBefore(group_.Proofs().Newest() -
+                                   settings_.settled);
+  if (settled.has_value() && *settled > candidate) {
+    // The only server that has these commits is the one that crashed.
+    return blocked > settings_.crashed_leader;
+  }
+  const bool followed =
+      blocked_since_ - group_.Proofs().Newest() < settings_.known_lately;
+  return followed || blocked > settings_.others_first;
+}
+
+bool primary_change::IsReplicaUnknown(core::log_position candidate) const {
+  const auto unknown = [this, candidate](const std::string& id, bool answered) {
+    return MayConfirm(id) && !answered && !HasAllOf(id, candidate);
+  };
+  const bool waited = host_.Now() - blocked_since_ > settings_.crashed_leader;
+  for (const auto& [id, answer] : answers_) {
+    // An empty log is that of a restart: what it confirmed before is lost.
+    const bool emptied = answer.status.has_value() && !leader_answered_ &&
+                         answer.status->received.offset == 0 &&
+                         candidate.offset > 0 && !waited &&
+                         !settings_.faults.ignore_unknown_replicas;
+    if (unknown(id, answer.status.has_value()) ||
+        (MayConfirm(id) && emptied)) {
+      return true;
+    }
+  }
+  for (const auto& [id, gone] : group_.GoneServers()) {
+    // One that restarted has lost what it may have confirmed alone.
+    if (unknown(id, false)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void primary_change::Compare() {
   const sessions::server_status* candidate = StatusOf(candidate_);
+  const sessions::server_status* leader = StatusOf(old_leader_);
+  if (leader_answered_ && leader != nullptr &&
+      !leader_after_holds_.has_value() && step_ == step::kComparing) {
+    leader_after_holds_ = leader->received;
+  }
   if (candidate == nullptr) {
     Again("candidate_lost");
     return;
@@ -318,39 +397,41 @@
     return;
   }
   for (const auto& [id, answer] : answers_) {
-    if (!MayConfirm(id)) {
-      continue;
-    }
-    if (!answer.status.has_value()) {
-      if (!HasAllOf(id, candidate->received)) {
-        Again("replica_unknown");
-        return;
-      }
+    if (!MayConfirm(id) || !answer.status.has_value()) {
       continue;
     }
-    if (answer.status->held_term < hold_term_) {
+    if (answer.status->held_term < hold_term_ && !settings_.faults.skip_holds) {
       Again("hold_lost");
       return;
     }
-    if (answer.status->received > candidate->received) {
+    if (answer.status->received > candidate->received &&
+        !settings_.faults.skip_comparison) {
       // The leader may still send it; otherwise the longest log is chosen anew.
       Again("candidate_behind");
       return;
     }
   }
-  for (const auto& [id, since] : group_.GoneServers()) {
-    if (id != old_leader_ && !HasAllOf(id, candidate->received)) {
-      Again("gone_replica_unknown");
+  if (IsReplicaUnknown(candidate->received)) {
+    Again("replica_unknown");
+    return;
+  }
+  if (!HasAllThatLeaderHad(candidate->received) &&
+      !settings_.faults.skip_comparison) {
+    if (leader_answered_ && ++rounds_ <= kMaxRounds) {
+      // It mostly has it one round trip later.
+      Ask(step::kComparing);
       return;
     }
+    Again("candidate_lacks");
+    return;
   }
-  promote_tries_ = 0;
   Promote();
 }
 
 void primary_change::Promote() {
   step_ = step::kPromoting;
   promote_tries_ += 1;
+  follows_ = 0;
   host_.NoteChange(group_.Name(), "promote",
                    candidate_ + " token " + std::to_string(token_));
   const std::uint64_t round = ++round_;
@@ -378,17 +459,32 @@
         Again("promotion_unanswered");
         return;
       }
+      // The holds are looked at anew before the call is made again.
+      step_ = step::kComparing;
       host_.SetTimer(group_.Name(), settings_.retry_pause);
       return;
   }
 }
 
+void primary_change::HoldOthers() {
+  for (const auto& [id, answer] : answers_) {
+    if (MayConfirm(id) && !settings_.faults.skip_holds) {
+      host_.Order(group_.Name(), id, server_order::kHold, hold_term_,
+                  [](std::optional<sessions::server_status>) {});
+    }
+  }
+}
+
 void primary_change::Follow() {
   step_ = step::kFollowing;
   if (host_.Now() - promoted_ > settings_.promotion) {
     GiveUp("promotion_time");
     return;
   }
+  // A server that is back while the promotion is carried out holds nothing.
+  if (follows_++ % kHoldEvery == 0) {
+    HoldOthers();
+  }
   const std::uint64_t round = ++round_;
   host_.Order(
       group_.Name(), candidate_, server_order::kStatus, 0,
@@ -459,6 +555,9 @@
 
 void primary_change::Finish(const std::string& leader) {
   step_ = step::kIdle;
+  if (!leader.empty()) {
+    blocked_since_ = {};
+  }
   round_ += 1;
   nonce_ = 0;
   host_.OnChangeDone(group_.Name(), leader, group_.LeaderTerm());
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -87,6 +87,19 @@
                           const std::string& detail) = 0;
 };
 
+/// Faults that tests switch on to see that the checker of the model finds them.
+/// The build of the product has none of them on.
+struct planted_change_faults {
+  /// Promotes without holding the other replicas.
+  bool skip_holds = false;
+  /// Promotes a candidate that lacks what a held replica has.
+  bool skip_comparison = false;
+  /// Treats a replica that does not answer as if it had confirmed nothing.
+  bool ignore_unknown_replicas = false;
+  /// Uses the token of the claim that it read, without claiming the next.
+  bool reuse_token = false;
+};
+
 /// Limits of a change of primary.
 struct change_settings {
   /// Name of this instance.
@@ -100,6 +113,17 @@
   core::milliseconds preparation{4000};
   /// Longest wait for an accepted promotion.
   core::milliseconds promotion{4000};
+  /// Age at which a commit in the leader's log counts as acknowledged, for want
+  /// of better knowledge: longer than any replication on a calm day.
+  core::milliseconds settled{500};
+  /// How long a crashed leader is waited for when no other server has what was
+  /// acknowledged: a restart, with room.
+  core::milliseconds crashed_leader{20000};
+  /// An instance that has not followed the leader for this long before it
+  /// failed lets others go first.
+  core::milliseconds known_lately{2500};
+  core::milliseconds others_first{2000};
+  planted_change_faults faults;
 };
 
 /// Makes another server the leader of one group without losing an acknowledged
@@ -160,10 +184,16 @@
   void ChooseCandidate();
   void Compare();
   bool MayConfirm(const std::string& server) const;
+  /// Whether a replica that cannot be asked may hold commits that the candidate
+  /// lacks.
+  bool IsReplicaUnknown(core::log_position candidate) const;
   bool HasAllOf(const std::string& missing,
                 core::log_position candidate) const;
+  /// Whether the candidate has what the leader may have acknowledged.
+  bool HasAllThatLeaderHad(core::log_position candidate) const;
   void Promote();
   void OnPromoted(store::promotion_status status);
+  void HoldOthers();
   void Follow();
   void Lift();
   void GiveUp(const char* why);
@@ -180,10 +210,18 @@
   change_reason reason_ = change_reason::kNone;
   core::time_point started_;
   core::time_point promoted_;
+  /// When the first change that has not ended with a leader started.
+  core::time_point blocked_since_;
+  /// What the leader had when all others were held.
+  std::optional<core::log_position> leader_after_holds_;
+  int rounds_ = 0;
+  int follows_ = 0;
   std::uint64_t round_ = 0;
   std::uint64_t token_ = 0;
   std::uint64_t nonce_ = 0;
   core::term_number hold_term_ = 0;
+  /// Leader when the change started.
+  std::string suspect_;
   /// Empty if no server leads.
   std::string old_leader_;
   bool leader_answered_ = false;
