--- /dev/null
+++ b/tests/gateway/relay_choice_test.cpp
@@ -0,0 +1,74 @@
+#include "plantaintiller/gateway/relay_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+namespace plantaintiller::gateway {
+
+namespace {
+
+std::vector<relay_candidate> Deployment(int instances, int zones) {
+  std::vector<relay_candidate> all;
+  for (int n = 0; n < instances; ++n) {
+    const std::string zone = "z" + std::to_string(n % zones);
+    const std::string name = zone + "-" + std::to_string(1000 + n);
+    all.push_back({name, zone, name});
+  }
+  return all;
+}
+
+/// Messages of one round in which each instance tells its news.
+std::size_t Messages(const std::vector<relay_candidate>& all) {
+  std::size_t count = 0;
+  for (const relay_candidate& self : all) {
+    std::vector<relay_candidate> others;
+    for (const relay_candidate& each : all) {
+      if (each.name != self.name) {
+        others.push_back(each);
+      }
+    }
+    count += relay_choice::Targets(self, others, 16).size();
+  }
+  return count;
+}
+
+}  // namespace
+
+TEST_CASE("relay_choice: a small deployment tells everyone") {
+  CHECK(Messages(Deployment(8, 3)) == 8 * 7);
+}
+
+TEST_CASE("relay_choice: messages grow with the instances, not their square") {
+  for (const int instances : {30, 85, 300, 1900}) {
+    // Each tells two relays, and two relays of its zone tell it.
+    CHECK(Messages(Deployment(instances, 5)) <=
+          static_cast<std::size_t>(4 * instances + 10 * 10));
+  }
+}
+
+TEST_CASE("relay_choice: news reach every instance in three steps") {
+  const std::vector<relay_candidate> all = Deployment(85, 6);
+  std::set<std::string> reached{all[40].name};
+  for (int step = 0; step < 3; ++step) {
+    const std::set<std::string> before = reached;
+    for (const relay_candidate& self : all) {
+      if (!before.contains(self.name)) {
+        continue;
+      }
+      std::vector<relay_candidate> others;
+      for (const relay_candidate& each : all) {
+        if (each.name != self.name) {
+          others.push_back(each);
+        }
+      }
+      for (const std::string& host : relay_choice::Targets(self, others, 16)) {
+        reached.insert(host);
+      }
+    }
+  }
+  CHECK(reached.size() == all.size());
+}
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/tests/platform/line_codec_test.cpp
@@ -0,0 +1,166 @@
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "platform/caller_line_codec.h"
+#include "platform/line.h"
+#include "platform/server_line_codec.h"
+
+namespace platform {
+
+using plantaintiller::sessions::caller_message;
+using plantaintiller::sessions::failure_code;
+using plantaintiller::sessions::kMaxMessage;
+using plantaintiller::sessions::server_reply;
+using plantaintiller::sessions::session_state;
+using plantaintiller::sessions::statement_kind;
+using message_kind = caller_message::message_kind;
+
+TEST_CASE("line codec: every statement is read into its parts") {
+  const auto read = [](const char* text) { return ParseStatement("1", text); };
+  CHECK(read("BEGIN").kind == statement_kind::kBegin);
+  CHECK(read("BEGIN READ").kind == statement_kind::kBeginReadOnly);
+  CHECK(read("BEGIN WRITE").kind == statement_kind::kUnknown);
+  CHECK(read("COMMIT").kind == statement_kind::kCommit);
+  CHECK(read("ROLLBACK").kind == statement_kind::kRollback);
+  CHECK(read("READ 1a4").kind == statement_kind::kRead);
+  CHECK(read("WRITE 1a4 a b").kind == statement_kind::kWrite);
+  CHECK(read("SET x a b").name == "x");
+  CHECK(read("SET x a b").rest == "a b");
+  CHECK(read("PREPARE s1 WRITE q2c").writes);
+  CHECK(read("PREPARE s1 READ q2c").rest == "q2c");
+  CHECK(read("PREPARE s1 CALL q2c").kind == statement_kind::kUnknown);
+  CHECK(read("EXECUTE s1 1a4 x").rest == "1a4 x");
+  CHECK(read("DEALLOC s1").kind == statement_kind::kDeallocate);
+  CHECK(read("").kind == statement_kind::kUnknown);
+}
+
+TEST_CASE("line codec: a message is taken only when it is whole") {
+  caller_line_codec codec;
+  const std::string whole = "QUERY 7 READ 1a4\r\nQUERY 8 COMMIT\r\n";
+  std::string buffer;
+  std::vector<std::string> ids;
+  for (const char each : whole) {
+    buffer += each;
+    while (const auto message = codec.Take(buffer)) {
+      ids.push_back(message->request.id);
+    }
+  }
+  CHECK(ids == std::vector<std::string>{"7", "8"});
+  CHECK(buffer.empty());
+}
+
+TEST_CASE("line codec: oversized and malformed messages are told apart") {
+  caller_line_codec codec;
+  std::string endless(kMaxMessage + 1, 'x');
+  CHECK(codec.Take(endless)->kind == message_kind::kTooLarge);
+  std::string big = "QUERY 1 WRITE a " + std::string(kMaxMessage, 'x') + "\r\n";
+  CHECK(codec.Take(big)->kind == message_kind::kTooLarge);
+  for (const char* line : {"\r\n", "HELLO\r\n", "QUERY\r\n", "query 1 READ\r\n"}) {
+    std::string buffer = line;
+    CHECK(codec.Take(buffer)->kind == message_kind::kMalformed);
+  }
+}
+
+TEST_CASE("line codec: answers of servers, interleaved in one read") {
+  server_line_codec codec;
+  std::string buffer =
+      "READY I 3.1\r\nDATAROW a b\r\nDATAROW c\r\nCOMPLETE r.1\r\nREADY T 3.2\r\n"
+      "ERROR LAGGING too far\r\nREADY E -\r\nERROR CONNLIMIT 16\r\n";
+  server_reply partial;
+  const auto opened = codec.Take(buffer, partial);
+  CHECK(opened->succeeded);
+  CHECK(opened->receipt.empty());
+  const auto rows = codec.Take(buffer, partial);
+  CHECK(rows->rows == std::vector<std::string>{"a b", "c"});
+  CHECK(rows->receipt == "r.1");
+  CHECK(rows->state == session_state::kInTransaction);
+  CHECK(rows->position->offset == 2);
+  const auto behind = codec.Take(buffer, partial);
+  CHECK(behind->failure == failure_code::kLagging);
+  CHECK(behind->failure_text == "LAGGING too far");
+  CHECK_FALSE(behind->position.has_value());
+  CHECK(codec.Take(buffer, partial)->failure ==
+        failure_code::kTooManyConnections);
+  CHECK_FALSE(codec.Take(buffer, partial).has_value());
+}
+
+TEST_CASE("line codec: an answer that lost its middle is no success") {
+  server_line_codec codec;
+  std::string buffer = "DATAROW a\r\nREADY I 3.1\r\n";
+  server_reply partial;
+  CHECK_FALSE(codec.Take(buffer, partial)->succeeded);
+  std::string noise = "HTTP/1.1 200 OK\r\n";
+  CHECK(codec.Take(noise, partial)->garbled);
+}
+
+TEST_CASE("line codec: the state of a server") {
+  server_line_codec codec;
+  const auto read = [&codec](const char* row) {
+    server_reply reply;
+    reply.succeeded = true;
+    reply.rows = {row};
+    return codec.Read(reply);
+  };
+  const auto status = read("replica 3 3.1209 4 12 2 17");
+  REQUIRE(status.has_value());
+  CHECK_FALSE(status->is_primary);
+  CHECK(status->term == 3);
+  CHECK(status->received.offset == 1209);
+  CHECK(status->held_term == 4);
+  CHECK(status->busy == 2);
+  for (const char* bad : {"", "leader 3 3.1 0 1 1 1", "replica x 3.1 0 1 1 1",
+                          "replica 3 31 0 1 1 1", "replica 3 3.1"}) {
+    CHECK_FALSE(read(bad).has_value());
+  }
+}
+
+TEST_CASE("line codec: a position survives being written and read") {
+  std::mt19937_64 random(7);
+  for (int n = 0; n < 1000; ++n) {
+    const plantaintiller::core::log_position position{random() >> 1U,
+                                                      random() >> 1U};
+    std::string text;
+    AppendPosition(text, position);
+    CHECK(ParsePosition(text) == position);
+  }
+  for (const char* bad : {"-", "", "3", "3.", ".3", "3.x", "3.1.2", "-1.2"}) {
+    CHECK_FALSE(ParsePosition(bad).has_value());
+  }
+}
+
+TEST_CASE("line codec: no bytes make either end fail or stall") {
+  // Random pieces of real lines and noise, cut at random places.
+  const std::vector<std::string> pieces{
+      "QUERY ", "START ",   "READY ", "DATAROW ", "COMPLETE ", "ERROR ",
+      "BEGIN",  "PREPARE ", "\r\n",   "\n",       " ",         "I ",
+      "3.1",    "-",        "BUSY",   "\r",       "x",         std::string(1, '\0')};
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    caller_line_codec callers;
+    server_line_codec servers;
+    std::string from_caller;
+    std::string from_server;
+    server_reply partial;
+    std::size_t lines = 0;
+    std::size_t taken = 0;
+    for (int n = 0; n < 200; ++n) {
+      const std::string& piece = pieces[random() % pieces.size()];
+      lines += piece.find('\n') != std::string::npos ? 1U : 0U;
+      from_caller += piece;
+      from_server += piece;
+      while (callers.Take(from_caller).has_value()) {
+        taken += 1;
+      }
+      while (servers.Take(from_server, partial).has_value()) {
+      }
+    }
+    CHECK(taken == lines);
+    CHECK(from_caller.find('\n') == std::string::npos);
+    CHECK(from_server.find('\n') == std::string::npos);
+  }
+}
+
+}  // namespace platform
--- /dev/null
+++ b/tests/platform/settings_reader_test.cpp
@@ -0,0 +1,82 @@
+#include "platform/settings_reader.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <string>
+
+namespace platform {
+
+namespace {
+
+const std::string kSettings = R"(
+node = "n1"
+ip = "127.0.0.1"
+zone = "z1"
+port-range = [7440, 7455]
+seeds = ["127.0.0.2:8782", "broken"]
+heartbeat-ms = 1200
+unknown-field = true
+[zones]
+z1 = "west"
+[listen]
+front = "127.0.0.1:8784"
+ready = "127.0.0.1:8785"
+[limits]
+max-fds = 4200
+[bounds]
+grace-s = 6
+drain-ms = 7000
+[platform]
+address = "127.0.0.9:8783"
+[cloud]
+address = "127.0.0.9:8784"
+)";
+
+/// What is wrong with settings, as SETTING: what is allowed; empty if nothing.
+std::string ProblemOf(const std::string& text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> plantaintiller::core::result<std::string> {
+        BOOST_LEAF_CHECK(ParseSettings(text));
+        return std::string();
+      },
+      [](const plantaintiller::core::error& problem) {
+        return problem.subject + ": " + problem.detail;
+      },
+      [] { return std::string("unknown"); });
+}
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kSettings;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("settings: what the product needs is read, the rest ignored") {
+  const auto settings = ParseSettings(kSettings);
+  REQUIRE(settings);
+  CHECK(settings->instance == "n1");
+  CHECK(settings->callers.port == 8784);
+  CHECK(settings->peers.port == 7440);
+  CHECK(settings->seeds == std::vector<std::string>{"127.0.0.2"});
+  CHECK(settings->regions.at("z1") == "west");
+  CHECK(settings->shutdown_grace == plantaintiller::core::milliseconds(6000));
+  CHECK(settings->max_sockets == 4000);
+  CHECK(settings->operators.port == 0);
+}
+
+TEST_CASE("settings: a bad one is named with its value and what is allowed") {
+  CHECK(ProblemOf(kSettings).empty());
+  CHECK(ProblemOf(Replaced("node = \"n1\"", "")) == "node: must be a text");
+  CHECK(ProblemOf(Replaced("127.0.0.1:8784", "here")) ==
+        "listen.front: is \"here\", must be HOST:PORT");
+  CHECK(ProblemOf(Replaced("[7440, 7455]", "[0, 1]")) ==
+        "port-range: must be two ports from 1 to 65535");
+  CHECK(ProblemOf(Replaced("grace-s = 6", "grace-s = -1")) ==
+        "bounds.grace-s: must be a number from 1 to 600");
+  CHECK(ProblemOf("node = ").starts_with("settings file: "));
+}
+
+}  // namespace platform
--- /dev/null
+++ b/tests/replication/group_state_test.cpp
@@ -0,0 +1,158 @@
+#include "plantaintiller/replication/group_state.h"
+
+#include <doctest/doctest.h>
+
+#include "plantaintiller/replication/leader_watch.h"
+
+namespace plantaintiller::replication {
+
+using core::milliseconds;
+
+namespace {
+
+const std::map<std::string, distance> kZones{
+    {"near", distance::kSameZone}, {"far", distance::kOtherRegion}};
+
+server_entry Entry(const char* id, const char* zone, bool leads) {
+  server_entry made;
+  made.id = id;
+  made.group = "g";
+  made.zone = zone;
+  made.slots = 2;
+  made.reports_leader = leads;
+  return made;
+}
+
+/// A group of a leader `a` and replicas `b`, near, and `c`, far.
+struct group_fixture {
+  group_fixture() { List({Entry("a", "near", true), Entry("b", "near", false),
+                          Entry("c", "far", false)}); }
+  void List(const std::vector<server_entry>& servers) {
+    group.OnList(servers, kZones, now);
+  }
+  std::optional<change_reason> Needed() {
+    return watch.ChangeNeeded(group, now);
+  }
+  core::time_point now{std::chrono::hours(1)};
+  group_state group{"g"};
+  leader_watch_settings settings;
+  leader_watch watch{settings};
+};
+
+}  // namespace
+
+TEST_CASE("group_state: near replicas first, then the leader, then far ones") {
+  group_fixture fixture;
+  CHECK(fixture.group.ReadOrder({}, fixture.now) ==
+        std::vector<std::string>{"b", "a", "c"});
+  fixture.group.Find("b")->running = 4;
+  CHECK(fixture.group.ReadOrder({}, fixture.now).front() == "a");
+  fixture.group.OnLagging("b", fixture.now);
+  CHECK(fixture.group.ReadOrder({}, fixture.now).back() == "b");
+  CHECK(fixture.group.ReadOrder({"a"}, fixture.now).size() == 2);
+}
+
+TEST_CASE("group_state: a leaving server gets no reads while others stay") {
+  group_fixture fixture;
+  server_entry leaving = Entry("b", "near", false);
+  leaving.draining = true;
+  fixture.List({Entry("a", "near", true), leaving, Entry("c", "far", false)});
+  CHECK(fixture.group.ReadOrder({}, fixture.now) ==
+        std::vector<std::string>{"a", "c"});
+}
+
+TEST_CASE("group_state: a refusal deposes a leader that the list still names") {
+  group_fixture fixture;
+  fixture.group.OnNotLeader("a", fixture.now);
+  CHECK(fixture.group.Leader().empty());
+  fixture.List({Entry("a", "near", true), Entry("b", "near", false)});
+  CHECK(fixture.group.Leader().empty());
+  fixture.List({Entry("a", "near", false), Entry("b", "near", true)});
+  CHECK(fixture.group.Leader() == "b");
+}
+
+TEST_CASE("group_state: a leader seen outranks a list that is older") {
+  group_fixture fixture;
+  fixture.group.OnLeaderSeen("b", 2, fixture.now);
+  fixture.List({Entry("a", "near", true), Entry("b", "near", false)});
+  CHECK(fixture.group.Leader() == "b");
+  fixture.group.OnLeaderSeen("a", 1, fixture.now);
+  CHECK(fixture.group.Leader() == "b");
+}
+
+TEST_CASE("group_state: a leader that is not listed serves for a while") {
+  group_fixture fixture;
+  const std::vector<server_entry> others{Entry("b", "near", false),
+                                         Entry("c", "far", false)};
+  fixture.List(others);
+  CHECK(fixture.group.Leader() == "a");
+  CHECK(fixture.Needed() == change_reason::kGone);
+  fixture.now += milliseconds(5100);
+  fixture.List(others);
+  CHECK(fixture.group.Leader().empty());
+  CHECK(fixture.group.GoneSince("a") == fixture.now);
+}
+
+TEST_CASE("group_state: a restart counts as a loss of what the server knew") {
+  group_fixture fixture;
+  server_entry restarted = Entry("b", "near", false);
+  restarted.born_ms = 5;
+  fixture.List({Entry("a", "near", true), restarted, Entry("c", "far", false)});
+  CHECK(fixture.group.GoneSince("b").has_value());
+  CHECK_FALSE(fixture.group.GoneSince("c").has_value());
+}
+
+TEST_CASE("leader_watch: silence, stuck writes and leaving, but not slowness") {
+  group_fixture fixture;
+  CHECK_FALSE(fixture.Needed().has_value());
+  fixture.group.OnTrouble("a", fixture.now, fixture.now);
+  fixture.now += milliseconds(450);
+  CHECK_FALSE(fixture.Needed().has_value());
+  fixture.group.OnTrouble("a", fixture.now, fixture.now);
+  CHECK(fixture.Needed() == change_reason::kSilent);
+  fixture.group.OnSuccess("a");
+  CHECK_FALSE(fixture.Needed().has_value());
+  for (int n = 0; n < 50; ++n) {
+    fixture.group.OnBusy("a", fixture.now);
+  }
+  CHECK_FALSE(fixture.Needed().has_value());
+  fixture.group.OnWriteOutcome("a", false);
+  fixture.group.OnWriteOutcome("a", false);
+  CHECK(fixture.Needed() == change_reason::kStuck);
+}
+
+TEST_CASE("freshness: the oldest position that is young enough") {
+  freshness proofs;
+  core::time_point now{std::chrono::hours(1)};
+  CHECK_FALSE(proofs.PositionFor(now).has_value());
+  for (std::uint64_t n = 1; n <= 100; ++n) {
+    proofs.OnProof(now, {1, n});
+    now += milliseconds(40);
+  }
+  const auto position = proofs.PositionFor(now - milliseconds(1500));
+  REQUIRE(position.has_value());
+  // A proof each 100 ms or more: at most that much younger than allowed.
+  CHECK(position->offset >= 100 - 1500 / 40);
+  CHECK(position->offset <= 100 - 1500 / 40 + 4);
+  CHECK_FALSE(proofs.PositionFor(now).has_value());
+  proofs.OnProof(now - milliseconds(5000), {9, 9});
+  CHECK(proofs.PositionFor(now - milliseconds(100))->entry_term == 1);
+}
+
+TEST_CASE("concurrency_limit: a leader that must take all reads") {
+  // Pattern: replicas lag, so that answers of the leader take ten times as
+  // long. The limit falls to one and is back soon after.
+  concurrency_limit limit;
+  for (int n = 0; n < 40; ++n) {
+    limit.OnAnswer(milliseconds(300), milliseconds(2));
+  }
+  CHECK(limit.Limit() == 1);
+  limit.OnRefused();
+  CHECK(limit.Limit() == 1);
+  for (int n = 0; n < 60; ++n) {
+    limit.OnAnswer(milliseconds(20), milliseconds(2));
+  }
+  CHECK(limit.Limit() >= 4);
+}
+
+}  // namespace plantaintiller::replication
