--- /dev/null
+++ b/tests/soak/platform_standin.py
@@ -0,0 +1,163 @@
+"""Stand-in for the platform: rows under conditions, promotions, heartbeats.
+
+One HTTP/1.1 server for the store and one for promotions, each with faults that
+a test switches on.
+"""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+
+class Platform:
+    def __init__(self, groups, host, port):
+        self.groups = {each.name: each for each in groups}
+        self.host, self.port = host, port
+        self.rows, self.changes, self.version = {}, [], 0
+        self.changed = asyncio.Event()
+        # "up", "busy" (503) or "silent".
+        self.mode = "up"
+        self.lose_answers = 0.0
+        self.delay = 0.002
+        self.started = time.monotonic()
+        self.random = None
+
+    async def start(self):
+        await asyncio.start_server(self.serve, self.host, self.port)
+        await asyncio.start_server(self.serve, self.host, self.port + 1)
+
+    def put(self, table, part, key, value):
+        self.version += 1
+        encoded = base64.b64encode(value.encode()).decode()
+        row = {
+            "table": table, "part": part, "key": key,
+            "value": encoded, "row-version": self.version,
+        }
+        self.rows[(table, part, key)] = row
+        self.changes.append(row)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def remove(self, table, part, key):
+        if self.rows.pop((table, part, key), None):
+            self.version += 1
+
+    async def report_servers(self):
+        """Writes what living servers say of themselves; runs for ever."""
+        silent = {}
+        while True:
+            for group in self.groups.values():
+                for each in group.servers:
+                    if each.alive:
+                        silent[each.name] = time.monotonic()
+                        self.put("servers", "", each.name, self.entry(each))
+                    elif time.monotonic() - silent.get(each.name, 0) > 3.6:
+                        self.remove("servers", "", each.name)
+            await asyncio.sleep(0.4)
+
+    def entry(self, server):
+        return json.dumps({
+            "service": server.group.name,
+            "address": f"{getattr(server, 'entry_host', server.host)}:{server.port}",
+            "zone": "z1",
+            "version": "v1", "slots": 2,
+            "state": "draining" if server.draining else "ready",
+            "cold-remaining-ms": 0,
+            "db-role": "primary" if server.leads else "replica",
+            "seq": 1, "born": server.born,
+        })
+
+    async def serve(self, reader, writer):
+        try:
+            while await self.exchange(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            pass
+        writer.close()
+
+    async def exchange(self, reader, writer):
+        line = (await reader.readline()).decode().split()
+        if len(line) < 3:
+            return False
+        headers = {}
+        while header := (await reader.readline()).decode().strip():
+            name, _, value = header.partition(":")
+            headers[name.lower()] = value.strip()
+        size = int(headers.get("content-length", "0"))
+        body = await reader.readexactly(size) if size else b"{}"
+        await asyncio.sleep(self.delay)
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+            return False
+        if self.mode == "busy":
+            status, answer = 503, {}
+        else:
+            status, answer = await self.answer(line[1], body, headers)
+            lost = line[0] == "POST" and self.random.random() < self.lose_answers
+            if lost:
+                return False
+        text = json.dumps(answer).encode()
+        writer.write(
+            f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode()
+            + text
+        )
+        await writer.drain()
+        return True
+
+    async def answer(self, target, body, headers):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        if url.path == "/promote":
+            call = json.loads(body)
+            token = int(headers["x-plantaintiller-fencing-token"])
+            return self.groups[call["service"]].promote(call["id"], token), {}
+        if url.path == "/-/rows-get":
+            rows = [
+                row for (table, part, key), row in sorted(self.rows.items())
+                if table == query["table"] and part == query.get("part", "")
+                and key >= query.get("from", "")
+            ]
+            return 200, self.envelope(rows)
+        if url.path == "/-/rows-feed":
+            return 200, await self.follow(query)
+        if url.path == "/-/rows-tx":
+            return self.transact(json.loads(body))
+        return 404, {}
+
+    def envelope(self, rows):
+        now = int((time.monotonic() - self.started) * 1000)
+        return {
+            "rows": rows, "truncated": False,
+            "row-version": self.version, "now-ms": now,
+        }
+
+    async def follow(self, query):
+        deadline = time.monotonic() + int(query["wait-ms"]) / 1000
+        after = int(query["after"])
+        while True:
+            rows = [
+                row for row in self.changes
+                if row["table"] == query["table"] and row["row-version"] > after
+            ]
+            left = deadline - time.monotonic()
+            if rows or left <= 0:
+                return self.envelope(rows)
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def transact(self, call):
+        for each in call["expected"]:
+            key = (each["table"], each["part"], each["key"])
+            row = self.rows.get(key)
+            if (row["row-version"] if row else 0) != each["row-version"]:
+                return 412, self.envelope([row] if row else [])
+        for each in call["writes"]:
+            self.put(
+                each["table"], each["part"], each["key"],
+                base64.b64decode(each["value"]).decode(),
+            )
+        return 200, self.envelope([])
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,62 @@
+"""Loopback proxy in front of one server that delays, resets or silences."""
+
+import asyncio
+
+
+class Proxy:
+    def __init__(self, host, port, target_host, target_port):
+        self.address = (host, port)
+        self.target = (target_host, target_port)
+        self.delay = 0.0
+        # Directions that pass nothing: "up" towards the server, "down" back.
+        self.blocked = set()
+        self.links = set()
+
+    async def start(self):
+        await asyncio.start_server(self.accept, *self.address)
+
+    def reset(self):
+        for link in list(self.links):
+            link.abort()
+
+    def silence(self):
+        """Open connections pass nothing any more; new ones work."""
+        for link in self.links:
+            link.silent = True
+
+    async def accept(self, reader, writer):
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        link = Link(self, writer, up_writer)
+        self.links.add(link)
+        await asyncio.gather(
+            link.pump(reader, up_writer, "up"),
+            link.pump(up_reader, writer, "down"),
+        )
+        self.links.discard(link)
+
+
+class Link:
+    def __init__(self, proxy, *writers):
+        self.proxy, self.writers, self.silent = proxy, writers, False
+
+    def abort(self):
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def pump(self, reader, writer, direction):
+        try:
+            while data := await reader.read(65536):
+                await asyncio.sleep(self.proxy.delay)
+                while self.silent or direction in self.proxy.blocked:
+                    await asyncio.sleep(0.05)
+                    if writer.is_closing():
+                        return
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        self.abort()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,443 @@
+"""Randomized soak of real entry instances, as separate processes on loopback.
+
+Faults come from outside: proxies in front of the servers, a platform that is
+slow, refuses or loses answers, servers that crash, lag or leave, and signals to
+the instances. The promises are checked while it runs, from what callers and
+servers see. Only processes that it started are ended, by their ids.
+
+usage: soak.py [--seeds FIRST:COUNT] [--seconds N] [--instances N]
+"""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+from database_group import Checker, Group  # noqa: E402
+from platform_standin import Platform  # noqa: E402
+from proxy import Proxy  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BINARY = os.environ.get(
+    "PLANTAINTILLER_BINARY", str(ROOT / "build/release/plantaintiller")
+)
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
+STALENESS = 1.5
+ROUTES = {"orders": "primary", "portal": "bounded_staleness",
+          "ledger": "read_own_writes"}
+
+SETTINGS = """
+node = "{name}"
+ip = "{host}"
+zone = "z1"
+port-range = [{peer}, {peer}]
+seeds = ["127.0.3.1:{control}"]
+heartbeat-ms = 1200
+[zones]
+z1 = "r1"
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+[limits]
+max-fds = 2000
+[bounds]
+grace-s = 4
+drain-ms = 7000
+[platform]
+address = "{platform}:{store}"
+[cloud]
+address = "{platform}:{cloud}"
+"""
+
+
+class Instance:
+    """One entry instance as a process."""
+
+    def __init__(self, number, ports, folder):
+        self.host = f"127.0.3.{number}"
+        self.ports = ports
+        self.name = f"entry-{number}"
+        self.path = folder / f"{self.name}.toml"
+        self.log = open(folder / f"{self.name}.log", "ab")
+        self.path.write_text(
+            SETTINGS.format(name=self.name, host=self.host, **ports)
+        )
+        self.process = None
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [BINARY, "entry", "--settings", str(self.path)],
+            stdout=self.log, stderr=self.log,
+        )
+
+    def send(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def stop(self):
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+        if self.process:
+            self.process.wait()
+        self.log.close()
+
+
+class Caller:
+    """A caller's session that checks every answer it gets."""
+
+    counter = 0
+
+    def __init__(self, world, database):
+        self.world, self.database = world, database
+        self.reader = self.writer = None
+
+    async def run(self):
+        while True:
+            try:
+                await self.session()
+            except (ConnectionError, OSError, asyncio.IncompleteReadError,
+                    asyncio.TimeoutError):
+                pass
+            if self.writer:
+                self.writer.transport.abort()
+                self.writer = None
+            await asyncio.sleep(0.05)
+
+    async def session(self):
+        host, port = self.world.entry()
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+        self.writer.write(f"START {self.database} soak\r\n".encode())
+        line = await asyncio.wait_for(self.reader.readline(), 2)
+        if not line.startswith(b"READY"):
+            raise ConnectionError(line.decode())
+        own, written = f"own-{random.random()}", 0
+        while True:
+            choice = self.world.random.random()
+            if choice < 0.4:
+                await self.check_shared()
+            elif choice < 0.7:
+                written = await self.check_own(own, written)
+            else:
+                await self.transaction()
+            await asyncio.sleep(self.world.random.random() * 0.03)
+
+    async def ask(self, query, text, rows=None):
+        """@return (code, whether the session is idle); code None on success."""
+        self.writer.write(f"QUERY {query} {text}\r\n".encode())
+        code = None
+        while True:
+            line = (await asyncio.wait_for(self.reader.readline(), 6)).decode()
+            word, _, rest = line.strip().partition(" ")
+            if word == "DATAROW" and rows is not None:
+                rows.append(rest)
+            elif word == "COMPLETE":
+                if text.split()[0] in ("READ", "WRITE", "COMMIT"):
+                    if rest != f"r.{query}":
+                        self.world.checker.broken(f"{query} got receipt {rest}")
+            elif word == "ERROR":
+                code = rest.split()[0]
+            elif word == "READY":
+                return code
+            elif not line:
+                raise ConnectionError("closed")
+
+    def attempt(self):
+        Caller.counter += 1
+        return f"a{Caller.counter}"
+
+    def settle(self, queries, code):
+        """Notes what an attempt's end promises of its writes."""
+        for query in queries:
+            if code is None:
+                self.world.checker.acknowledged[query] = "g1"
+            elif code in PROMISES:
+                self.world.checker.promised.add(query)
+
+    async def write(self, item, data):
+        query = self.attempt() + ".1"
+        code = await self.ask(query, f"WRITE {item} {data}")
+        self.settle([query], code)
+        return code
+
+    async def check_own(self, own, written):
+        code = await self.write(own, written + 1)
+        if code is not None:
+            # Whether it was kept is not known: another item from here on.
+            raise ConnectionError(code)
+        rows = []
+        if await self.ask(self.attempt() + ".1", f"READ {own}", rows) is None:
+            bound = self.database != "portal"
+            if bound and rows != [str(written + 1)]:
+                self.world.checker.broken(
+                    f"{self.database}: own write {written + 1} read as {rows}"
+                )
+        return written + 1
+
+    async def check_shared(self):
+        """Reads an item that one writer counts up, as fresh as its route says."""
+        began = time.monotonic()
+        allowed = 0.0 if self.database == "orders" else STALENESS
+        if self.database == "ledger":
+            allowed = 2.5
+        least = max(
+            [n for at, n in self.world.counted if at < began - allowed],
+            default=0,
+        )
+        rows = []
+        if await self.ask(self.attempt() + ".1", "READ shared", rows) is None:
+            seen = 0 if rows == ["-"] else int(rows[0])
+            if seen < least:
+                self.world.checker.broken(
+                    f"{self.database}: read {seen}, {least} was older than allowed"
+                )
+        self.world.served += 1
+
+    async def transaction(self):
+        attempt = self.attempt()
+        if await self.ask(f"{attempt}.0", "BEGIN") is not None:
+            return
+        query = f"{attempt}.1"
+        code = await self.ask(query, f"WRITE t-{attempt} 1")
+        await asyncio.sleep(self.world.random.random() * 0.05)
+        roll_back = code is not None or self.world.random.random() < 0.3
+        if roll_back:
+            await self.ask(f"{attempt}.2", "ROLLBACK")
+            self.world.checker.promised.add(query)
+            return
+        self.settle([query], await self.ask(f"{attempt}.2", "COMMIT"))
+
+
+class Counter(Caller):
+    """The one writer of the shared item."""
+
+    async def session(self):
+        host, port = self.world.entry()
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+        self.writer.write(b"START orders soak\r\n")
+        await asyncio.wait_for(self.reader.readline(), 2)
+        while True:
+            self.world.next_count += 1
+            number = self.world.next_count
+            if await self.write("shared", number) is None:
+                self.world.counted.append((time.monotonic(), number))
+            await asyncio.sleep(0.03)
+
+
+class World:
+    def __init__(self, seed, instances, folder):
+        self.random = random.Random(seed)
+        self.checker = Checker()
+        self.counted, self.next_count, self.served = [], 0, 0
+        # Ports of an earlier run may linger; below those of outgoing sockets.
+        base = 12000 + (os.getpid() + seed) % 1200 * 16
+        self.group = Group(
+            "g1", ["127.0.2.1", "127.0.2.2", "127.0.2.3"], base,
+            self.checker, self.random,
+        )
+        self.proxies = []
+        for number, server in enumerate(self.group.servers, 1):
+            proxy = Proxy(f"127.0.4.{number}", base, server.host, server.port)
+            self.proxies.append(proxy)
+            server.entry_host = proxy.address[0]
+        self.platform = Platform([self.group], "127.0.5.1", base + 1)
+        self.platform.random = self.random
+        ports = {"peer": base + 3, "control": base + 4, "front": base + 5,
+                 "ready": base + 6, "store": base + 1, "cloud": base + 2,
+                 "platform": "127.0.5.1"}
+        self.instances = [
+            Instance(n + 1, ports, folder) for n in range(instances)
+        ]
+        self.version = 0
+        self.faults = []
+
+    def entry(self):
+        each = self.random.choice(self.instances)
+        return each.host, each.ports["front"]
+
+    def publish(self):
+        self.version += self.random.randint(1, 3)
+        routes = ",".join(
+            f'{{"name":"r-{name}","host":"{name}","route-type":"{kind}",'
+            f'"timeout-ms":800,"target-latency-ms":500,"priority":1,'
+            f'"service":"g1","max-staleness-ms":'
+            f'{2500 if name == "ledger" else 1500}}}'
+            for name, kind in ROUTES.items()
+        )
+        self.platform.put(
+            "op", "", "config",
+            f'{{"version":{self.version},"routes":[{routes}],"services":'
+            f'[{{"name":"g1","max-conns":16,"sync-replicas":1}}],'
+            f'"limits":{{"tx-idle-ms":3000}}}}',
+        )
+
+    async def later(self, seconds, act):
+        await asyncio.sleep(seconds)
+        result = act()
+        if asyncio.iscoroutine(result):
+            await result
+
+    def fault(self):
+        """Draws one fault and starts it. @return a line on it."""
+        pick, span = self.random, 0.3 + self.random.random() * 2.5
+        instance = pick.choice(self.instances)
+        server, proxy = pick.choice(list(zip(self.group.servers, self.proxies)))
+        leader = self.group.leader()
+        platform, undo = self.platform, None
+        kind = pick.choice([
+            "kill", "pause", "term", "herd", "reset", "silence", "delay",
+            "one_way", "leader_crash", "drain", "deaf", "lost_answers",
+            "store_busy", "store_silent", "store_lost", "configuration",
+        ])
+        if kind == "kill":
+            instance.send(signal.SIGKILL)
+        elif kind == "herd":
+            for each in self.instances:
+                each.send(signal.SIGKILL)
+        elif kind == "pause":
+            instance.send(signal.SIGSTOP)
+            undo = lambda: instance.send(signal.SIGCONT)
+        elif kind == "term":
+            instance.send(signal.SIGTERM)
+        elif kind == "reset":
+            proxy.reset()
+        elif kind == "silence":
+            proxy.silence()
+        elif kind == "delay":
+            proxy.delay = 0.05 + pick.random() * 0.15
+            undo = lambda: setattr(proxy, "delay", 0.0)
+        elif kind == "one_way":
+            direction = pick.choice(["up", "down"])
+            proxy.blocked.add(direction)
+            undo = lambda: proxy.blocked.discard(direction)
+        elif kind == "leader_crash" and leader:
+            leader.crash()
+            undo = leader.restart
+        elif kind == "drain" and leader:
+            leader.draining = True
+            undo = lambda: setattr(leader, "draining", False)
+            span = 6
+        elif kind == "deaf" and server is not leader:
+            server.deaf = True
+            undo = lambda: setattr(server, "deaf", False)
+        elif kind == "lost_answers":
+            server.lose_answers = 0.05
+            undo = lambda: setattr(server, "lose_answers", 0.0)
+        elif kind.startswith("store_"):
+            if kind == "store_lost":
+                platform.lose_answers = 0.4
+                undo = lambda: setattr(platform, "lose_answers", 0.0)
+            else:
+                platform.mode = kind.removeprefix("store_")
+                undo = lambda: setattr(platform, "mode", "up")
+        else:
+            self.publish()
+        if undo:
+            asyncio.create_task(self.later(span, undo))
+        return f"{kind} {instance.name} {server.name} {span:.1f}s"
+
+    async def keep_running(self):
+        """Starts instances that have ended again, as the platform does."""
+        while True:
+            for each in self.instances:
+                if each.process.poll() is not None:
+                    each.start()
+            await asyncio.sleep(0.4)
+
+    async def run(self, seconds):
+        await self.platform.start()
+        await self.group.start()
+        for proxy in self.proxies:
+            await proxy.start()
+        self.publish()
+        tasks = [asyncio.create_task(each) for each in (
+            self.group.replicate(), self.platform.report_servers(),
+        )]
+        for each in self.instances:
+            each.start()
+        tasks.append(asyncio.create_task(self.keep_running()))
+        await asyncio.sleep(2.0)
+        callers = [Caller(self, name) for name in ROUTES for _ in range(5)]
+        callers.append(Counter(self, "orders"))
+        tasks += [asyncio.create_task(each.run()) for each in callers]
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(0.4 + self.random.random() * 1.6)
+            self.faults.append(f"{time.monotonic() - end + seconds:.1f} "
+                               + self.fault())
+        await asyncio.sleep(4.0)
+        before = self.served
+        await asyncio.sleep(4.0)
+        if self.served == before:
+            self.checker.broken("nothing is served after all faults have ended")
+        for each in tasks:
+            each.cancel()
+        # The stand-ins' connections are cut by the end of the loop.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        self.check_log()
+
+    def check_log(self):
+        leader = self.group.leader()
+        if leader is None:
+            return
+        queries = [each.query for each in leader.log]
+        kept = set(queries)
+        if len(kept) != len(queries):
+            self.checker.broken("a write took effect twice")
+        for query in self.checker.acknowledged:
+            if query not in kept:
+                self.checker.broken(f"acknowledged {query} is lost")
+        for query in self.checker.promised & kept:
+            self.checker.broken(f"{query} was kept though refused as not run")
+
+
+def play(seed, seconds, instances):
+    """@return what was broken."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        world = World(seed, instances, pathlib.Path(folder))
+        try:
+            asyncio.run(world.run(seconds))
+        finally:
+            for each in world.instances:
+                each.stop()
+        broken = world.checker.violations
+        print(f"seed {seed}: {len(world.checker.acknowledged)} writes, "
+              f"{world.served} reads, {len(world.faults)} faults, "
+              f"{len(broken)} broken", flush=True)
+        if broken:
+            print("\n".join(["  " + each for each in broken[:10]]
+                            + ["  fault " + each for each in world.faults]))
+            keep = os.environ.get("SOAK_LOGS")
+            if keep:
+                for path in pathlib.Path(folder).glob("*.log"):
+                    pathlib.Path(keep, f"{seed}-{path.name}").write_bytes(
+                        path.read_bytes())
+        return broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1:3", help="FIRST:COUNT")
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--instances", type=int, default=3)
+    given = parser.parse_args()
+    first, count = (int(each) for each in given.seeds.split(":"))
+    failed = [
+        seed for seed in range(first, first + count)
+        if play(seed, given.seconds, given.instances)
+    ]
+    print(f"{count - len(failed)} passed, {len(failed)} failed")
+    if failed:
+        print("failing seeds:", *failed)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
