Relays read the store for large deployments; requests for connections paced

Change: followers look each 8 s and pull what relays announce; members vouched for count as alive; at most one request each 120 ms; servers without an open connection cost 8 ms more.

--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -256,6 +256,7 @@
     return;
   }
   links.idle.push_back(&link);
+  NoteOpen(link.Server());
   if (links.all.size() > 1) {
     ArmTrim();
   }
@@ -264,6 +265,14 @@
   }
 }
 
+void connection_pool::NoteOpen(const std::string& server) {
+  const server_links& links = servers_[server];
+  if (replication::group_state::server* found = group_.Find(server)) {
+    found->connected =
+        links.all.size() > static_cast<std::size_t>(links.opening);
+  }
+}
+
 void connection_pool::ArmTrim() {
   if (trim_armed_) {
     return;
@@ -307,6 +316,7 @@
   // Freed last: `link` belongs to it.
   const std::shared_ptr<server_link> held = link.shared_from_this();
   std::erase(links.all, held);
+  NoteOpen(server);
   if (before == link_phase::kOpening) {
     const core::milliseconds pause =
         why == link_end::kFull ? kFullPause : kLostPause;
--- a/plantaintiller/gateway/connection_pool.h
+++ b/plantaintiller/gateway/connection_pool.h
@@ -99,6 +99,7 @@
   void OnLeft(server_link& link, bool answered);
   void OpenWanted(const std::map<std::string, int>& wanted);
   void ArmWake(core::time_point when);
+  void NoteOpen(const std::string& server);
   void ArmTrim();
   void Trim();
 
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -121,6 +121,8 @@
   void OnServers(std::vector<replication::server_entry> servers,
                  store::row_version version) override;
 
+  bool IsFollower() const override { return !exchange_.IsRelay(); }
+
   // peer_listener
   instance_view View() const override;
   remote_state StateAfter(std::uint64_t configuration_version,
@@ -130,7 +132,9 @@
   void OnPeerLacksConnection(const std::string& group,
                              const std::string& server) override;
   void OnRemoteState(const remote_state& state) override;
-  bool WantsList() const override { return watch_.IsLost(); }
+  bool WantsList() const override {
+    return watch_.IsLost() || IsFollower();
+  }
 
   // leader_keeper_listener
   void OnLeaderChange(const std::string& group) override;
@@ -384,8 +388,12 @@
 void gateway::implementation::OnServers(
     std::vector<replication::server_entry> servers,
     store::row_version version) {
-  servers_ = std::move(servers);
-  list_version_ = std::max(list_version_, version);
+  // A list that says the same is no news for those that take it from here.
+  if (servers != servers_ || list_version_ == 0) {
+    servers_ = std::move(servers);
+    list_version_ = std::max(list_version_, version);
+    exchange_.Announce();
+  }
   ApplyServers(servers_, version);
 }
 
@@ -490,7 +498,7 @@
     }
   }
   if (!state.servers.empty() && state.list_version > list_version_ &&
-      watch_.IsLost()) {
+      WantsList()) {
     log_line(log_, "store", "list_from_peer")
         .With("store_version", static_cast<std::int64_t>(state.list_version));
     OnServers(state.servers, state.list_version);
--- a/plantaintiller/gateway/peer_exchange.cpp
+++ b/plantaintiller/gateway/peer_exchange.cpp
@@ -36,14 +36,19 @@
 constexpr core::milliseconds kBeat{1500};
 /// Silence after which an instance gets only a trial heartbeat now and then.
 constexpr core::milliseconds kSilence{6000};
+/// How long the word of others that an instance is alive holds: relays tell
+/// some members with each heartbeat, all of a zone within this time.
+constexpr core::milliseconds kVouched{40000};
 /// News of one moment leave in one datagram.
 constexpr core::milliseconds kGather{3};
+/// Least pause between requests for connections.
+constexpr core::milliseconds kAskPause{120};
 /// Longest transfer of state.
 constexpr core::milliseconds kTransferTimeout{900};
 constexpr std::size_t kMaxDatagram = 1400;
 /// Largest state: the platform's limit on a configuration, with the servers.
 constexpr std::uint32_t kMaxState = 4U << 20U;
-constexpr std::size_t kToldMembers = 6;
+constexpr std::size_t kToldMembers = 10;
 constexpr std::size_t kMaxMembers = 4096;
 /// Largest message of Cap'n Proto read, in words.
 constexpr std::uint64_t kTraversalWords = kMaxState;
@@ -51,8 +56,16 @@
 struct member {
   std::string zone;
   std::string host;
-  core::time_point known_since;
+  /// When another instance, or the store, said last that it is alive.
+  core::time_point vouched;
   core::time_point heard;
+
+  bool IsLive(core::time_point now) const {
+    // In a large deployment most are never heard from; one that was, and fell
+    // silent, counts as gone until nobody can mean that silence any more.
+    return now - heard < kSilence ||
+           (now - vouched < kVouched && now - heard > kVouched);
+  }
 };
 
 std::string Text(capnp::Text::Reader text) {
@@ -212,6 +225,7 @@
   void Announce();
   void AskForConnection(const std::string& group, const std::string& server);
   std::size_t LivePeers() const;
+  bool IsRelay() const;
 
  private:
   void Receive();
@@ -225,6 +239,7 @@
   void SendTo(const std::string& host, const std::string& bytes);
   std::string Encode();
   std::vector<relay_candidate> Live(core::time_point now) const;
+  relay_candidate Self() const;
 
   asio::io_context& context_;
   const gateway_settings& settings_;
@@ -243,6 +258,7 @@
   std::array<char, 2048> chunk_{};
   std::map<std::string, member> members_;
   std::set<std::pair<std::string, std::string>> full_;
+  core::time_point asked_;
 };
 
 void peer_exchange::implementation::Start() {
@@ -282,8 +298,8 @@
   const bool moved = known.host != host;
   known.zone = zone;
   known.host = host;
+  known.vouched = core::clock::now();
   if (added || moved) {
-    known.known_since = core::clock::now();
     SendTo(host, Encode());
   }
 }
@@ -306,14 +322,19 @@
     const std::string& group,
     const std::string& server) {
   full_.insert({group, server});
-  Announce();
+  // Refusals come in bursts; connections are freed at the pace of statements.
+  const core::time_point now = core::clock::now();
+  if (now - asked_ >= kAskPause) {
+    asked_ = now;
+    Announce();
+  }
 }
 
 std::vector<relay_candidate> peer_exchange::implementation::Live(
     core::time_point now) const {
   std::vector<relay_candidate> live;
   for (const auto& [name, each] : members_) {
-    if (now - std::max(each.heard, each.known_since) < kSilence) {
+    if (each.IsLive(now)) {
       live.push_back({name, each.zone, each.host});
     }
   }
@@ -324,14 +345,21 @@
   return Live(core::clock::now()).size();
 }
 
+bool peer_exchange::implementation::IsRelay() const {
+  return relay_choice::IsRelay(Self(), Live(core::clock::now()),
+                               kSmallDeployment);
+}
+
+relay_candidate peer_exchange::implementation::Self() const {
+  return {settings_.instance, settings_.zone, settings_.peers.host};
+}
+
 void peer_exchange::implementation::SendToAll(bool trial) {
   const core::time_point now = core::clock::now();
   const std::string bytes = Encode();
   const std::vector<relay_candidate> live = Live(now);
-  const relay_candidate self{settings_.instance, settings_.zone,
-                             settings_.peers.host};
   for (const std::string& host :
-       relay_choice::Targets(self, live, kSmallDeployment)) {
+       relay_choice::Targets(Self(), live, kSmallDeployment)) {
     SendTo(host, bytes);
   }
   if (trial && live.size() < members_.size()) {
@@ -449,10 +477,8 @@
   }
   found->second.heard = core::clock::now();
   for (const auto each : beat.getMembers()) {
-    const std::string other = Text(each.getInstance());
-    if (!members_.contains(other)) {
-      Introduce(other, Text(each.getZone()), Text(each.getHost()));
-    }
+    Introduce(Text(each.getInstance()), Text(each.getZone()),
+              Text(each.getHost()));
   }
   for (const auto each : beat.getLeaders()) {
     listener_.OnPeerLeader(name,
@@ -583,6 +609,10 @@
   implementation_->AskForConnection(group, server);
 }
 
+bool peer_exchange::IsRelay() const {
+  return implementation_->IsRelay();
+}
+
 std::size_t peer_exchange::LivePeers() const {
   return implementation_->LivePeers();
 }
--- a/plantaintiller/gateway/peer_exchange.h
+++ b/plantaintiller/gateway/peer_exchange.h
@@ -88,6 +88,9 @@
   void Announce();
   /// Asks others to give up an idle connection to a server.
   void AskForConnection(const std::string& group, const std::string& server);
+  /// Whether this instance passes news on in a large deployment; in a small one
+  /// all do.
+  bool IsRelay() const;
   /// Instances heard from lately, this one not counted.
   std::size_t LivePeers() const;
 
--- a/plantaintiller/gateway/relay_choice.cpp
+++ b/plantaintiller/gateway/relay_choice.cpp
@@ -5,6 +5,39 @@
 
 namespace plantaintiller::gateway {
 
+namespace {
+
+/// Relays of each zone: the least names. Views that agree on who is alive agree
+/// on the relays.
+std::map<std::string, std::vector<std::string>> Relays(
+    const relay_candidate& self,
+    const std::vector<relay_candidate>& live) {
+  std::map<std::string, std::vector<std::string>> names;
+  names[self.zone].push_back(self.name);
+  for (const relay_candidate& each : live) {
+    names[each.zone].push_back(each.name);
+  }
+  for (auto& [zone, list] : names) {
+    std::sort(list.begin(), list.end());
+    list.resize(std::min(list.size(), relay_choice::kRelays));
+  }
+  return names;
+}
+
+bool IsAmong(const std::map<std::string, std::vector<std::string>>& relays,
+             const relay_candidate& each) {
+  const std::vector<std::string>& list = relays.at(each.zone);
+  return std::find(list.begin(), list.end(), each.name) != list.end();
+}
+
+}  // namespace
+
+bool relay_choice::IsRelay(const relay_candidate& self,
+                           const std::vector<relay_candidate>& live,
+                           std::size_t small) {
+  return live.size() < small || IsAmong(Relays(self, live), self);
+}
+
 std::vector<std::string> relay_choice::Targets(
     const relay_candidate& self,
     const std::vector<relay_candidate>& live,
@@ -16,25 +49,11 @@
     }
     return hosts;
   }
-  // The least names of each zone: views that agree on who is alive agree on
-  // the relays.
-  std::map<std::string, std::vector<std::string>> names;
-  names[self.zone].push_back(self.name);
-  for (const relay_candidate& each : live) {
-    names[each.zone].push_back(each.name);
-  }
-  for (auto& [zone, list] : names) {
-    std::sort(list.begin(), list.end());
-    list.resize(std::min(list.size(), kRelays));
-  }
-  const auto relays = [&names](const relay_candidate& each) {
-    const std::vector<std::string>& list = names[each.zone];
-    return std::find(list.begin(), list.end(), each.name) != list.end();
-  };
-  const bool relay = relays(self);
+  const auto relays = Relays(self, live);
+  const bool relay = IsAmong(relays, self);
   for (const relay_candidate& each : live) {
-    const bool told = relay ? each.zone == self.zone || relays(each)
-                            : each.zone == self.zone && relays(each);
+    const bool told = relay ? each.zone == self.zone || IsAmong(relays, each)
+                            : each.zone == self.zone && IsAmong(relays, each);
     if (told) {
       hosts.push_back(each.host);
     }
--- a/plantaintiller/gateway/relay_choice.h
+++ b/plantaintiller/gateway/relay_choice.h
@@ -18,6 +18,11 @@
   /// Instances of each availability zone that pass news on.
   static constexpr std::size_t kRelays = 2;
 
+  /// Whether an instance passes news on, and so has to follow the store itself.
+  /// Parameters as below.
+  static bool IsRelay(const relay_candidate& self,
+                      const std::vector<relay_candidate>& live,
+                      std::size_t small);
   /// @param self the instance that tells; @param live others believed alive;
   /// @param small up to this many instances everyone tells everyone.
   /// @return hosts to tell: all others in a small deployment; else the relays
--- a/plantaintiller/gateway/store_watch.cpp
+++ b/plantaintiller/gateway/store_watch.cpp
@@ -12,6 +12,9 @@
 /// Pause between reads of the list of servers: well inside the time in which a
 /// leaving server must get no more work, at an affordable number of calls.
 constexpr core::milliseconds kServerPause{1000};
+/// Pause of instances for which relays read: they notice relays that are wrong
+/// about being relays within a heartbeat or two of each other.
+constexpr core::milliseconds kFollowerPause{8000};
 /// Least pause between reads out of turn.
 constexpr core::milliseconds kLeastPause{150};
 /// Pause after a failed call.
@@ -105,6 +108,15 @@
     });
     return;
   }
+  if (listener_.IsFollower()) {
+    route_timer_.expires_after(kFollowerPause);
+    route_timer_.async_wait([this](error_code cancelled) {
+      if (!cancelled) {
+        FollowRoutes();
+      }
+    });
+    return;
+  }
   FollowRoutes();
 }
 
@@ -179,7 +191,7 @@
     servers.push_back(entry);
   }
   listener_.OnServers(std::move(servers), answer.newest);
-  ScheduleServers(kServerPause);
+  ScheduleServers(listener_.IsFollower() ? kFollowerPause : kServerPause);
 }
 
 void store_watch::OnFailure() {
--- a/plantaintiller/gateway/store_watch.h
+++ b/plantaintiller/gateway/store_watch.h
@@ -21,6 +21,9 @@
   virtual ~store_watch_listener() = default;
   /// The operator's configuration, as text and decoded.
   virtual void OnRoutes(const std::string& text, core::route_table routes) = 0;
+  /// Whether others read the store for this instance, which then looks only now
+  /// and then.
+  virtual bool IsFollower() const = 0;
   /// All usable servers, those kept over an outage included.
   /// @param version of the store that the list is of.
   virtual void OnServers(std::vector<replication::server_entry> servers,
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -23,6 +23,8 @@
 /// Cost of each statement that stands before this one at a server; close to
 /// the mean work of a read on the users' sites.
 constexpr double kStatementMs = 15.0;
+/// A new connection takes a slot for about this long.
+constexpr double kConnectMs = 8.0;
 /// Reads at the leader take slots from writes, which have nowhere else to go.
 constexpr double kLeaderPenaltyMs = 12.0;
 /// Drops a server behind every healthy one without excluding it.
@@ -34,6 +36,9 @@
   double cost =
       std::chrono::duration<double, std::milli>(RoundTrip(each.away)).count();
   cost += kStatementMs * each.running / std::max(1, each.entry.slots);
+  if (!each.connected) {
+    cost += kConnectMs;
+  }
   if (leads) {
     cost += kLeaderPenaltyMs;
   }
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -47,6 +47,8 @@
     /// Those of them that run single statements.
     int singles = 0;
     concurrency_limit limit;
+    /// Whether a connection to it is open.
+    bool connected = false;
     /// Not chosen for reads before this time, unless nothing else is left.
     core::time_point avoid_until;
     /// Failures in a row without a success between.
