--- a/plantaintiller/gateway/caller_connection.cpp
+++ b/plantaintiller/gateway/caller_connection.cpp
@@ -109,18 +109,17 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(chunk_),
-      [self = Self()](error_code failed, std::size_t size) {
-        self->reading_ = false;
-        if (failed) {
-          self->End();
-          return;
-        }
-        self->input_.append(self->chunk_.data(), size);
-        self->Proceed();
-        self->Read();
-      });
+  socket_.async_read_some(asio::buffer(chunk_),
+                          [self = Self()](error_code failed, std::size_t size) {
+                            self->reading_ = false;
+                            if (failed) {
+                              self->End();
+                              return;
+                            }
+                            self->input_.append(self->chunk_.data(), size);
+                            self->Proceed();
+                            self->Read();
+                          });
 }
 
 void caller_implementation::Proceed() {
--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -57,19 +57,19 @@
 void connection_pool::Acquire(const sessions::connection_need& need,
                               connection_taker& taker) {
   const core::time_point now = core::clock::now();
-  const auto same = std::find_if(
-      waiting_.begin(), waiting_.end(), [&need](const request& each) {
-        return each.need.priority >= need.priority;
-      });
+  const auto same = std::find_if(waiting_.begin(), waiting_.end(),
+                                 [&need](const request& each) {
+                                   return each.need.priority >= need.priority;
+                                 });
   const bool overloaded = same != waiting_.end() &&
                           same->need.priority == need.priority &&
                           now - same->since > kOverloadedWait;
   const auto place =
-      overloaded ? same
-                 : std::find_if(same, waiting_.end(),
-                                [&need](const request& each) {
-                                  return each.need.priority > need.priority;
-                                });
+      overloaded
+          ? same
+          : std::find_if(same, waiting_.end(), [&need](const request& each) {
+              return each.need.priority > need.priority;
+            });
   waiting_.insert(place, {need, &taker, now});
   Schedule();
 }
--- a/plantaintiller/gateway/connection_pool.h
+++ b/plantaintiller/gateway/connection_pool.h
@@ -93,8 +93,7 @@
   void Dispatch();
   server_link* FindIdle(const sessions::connection_need& need,
                         std::map<std::string, int>& wanted);
-  bool MayRun(const sessions::connection_need& need,
-              const std::string& server);
+  bool MayRun(const sessions::connection_need& need, const std::string& server);
   void OnLent(server_link& link, const sessions::connection_need& need);
   void OnLeft(server_link& link, bool answered);
   void OpenWanted(const std::map<std::string, int>& wanted);
--- a/plantaintiller/gateway/event_log.cpp
+++ b/plantaintiller/gateway/event_log.cpp
@@ -87,8 +87,9 @@
       const bool last = stopping_;
       lock.unlock();
       if (dropped != reported) {
-        writing += "log event=dropped lines=" +
-                   std::to_string(dropped - reported) + "\n";
+        writing +=
+            "log event=dropped lines=" + std::to_string(dropped - reported) +
+            "\n";
         reported = dropped;
       }
       WriteAll(writing);
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -79,11 +79,11 @@
         watch_(context, peers.rows, peers.directory, log_, *this),
         exchange_(context, settings, log_, *this),
         registry_(context, settings, peers.rows, exchange_),
-        keeper_(context,
-                settings,
-                {peers.servers, peers.status, peers.rows, peers.promotions,
-                 log_},
-                *this) {}
+        keeper_(
+            context,
+            settings,
+            {peers.servers, peers.status, peers.rows, peers.promotions, log_},
+            *this) {}
 
   int Run();
 
@@ -132,9 +132,7 @@
   void OnPeerLacksConnection(const std::string& group,
                              const std::string& server) override;
   void OnRemoteState(const remote_state& state) override;
-  bool WantsList() const override {
-    return watch_.IsLost() || IsFollower();
-  }
+  bool WantsList() const override { return watch_.IsLost() || IsFollower(); }
 
   // leader_keeper_listener
   void OnLeaderChange(const std::string& group) override;
@@ -310,11 +308,10 @@
   const core::time_point started =
       stop_timer_.expiry() -
       std::min(kLeaveRotation, settings_.shutdown_grace / 3);
-  const auto grace = std::chrono::duration<double, std::milli>(
-      settings_.shutdown_grace);
-  stop_timer_.expires_at(
-      started + std::chrono::duration_cast<core::duration>(
-                    grace * kTransactionGrace));
+  const auto grace =
+      std::chrono::duration<double, std::milli>(settings_.shutdown_grace);
+  stop_timer_.expires_at(started + std::chrono::duration_cast<core::duration>(
+                                       grace * kTransactionGrace));
   stop_timer_.async_wait([this, started, grace](error_code cancelled) {
     if (cancelled) {
       return;
@@ -323,9 +320,8 @@
       each.AbandonTransaction("shutdown");
       each.CloseWhenIdle();
     });
-    stop_timer_.expires_at(
-        started +
-        std::chrono::duration_cast<core::duration>(grace * kLastCall));
+    stop_timer_.expires_at(started + std::chrono::duration_cast<core::duration>(
+                                         grace * kLastCall));
     stop_timer_.async_wait([this](error_code stopped) {
       if (!stopped) {
         FinishStop();
@@ -434,8 +430,8 @@
         news != leader_news_.end() && now - news->second < kLeaderNews;
     const bool changing = keeper_.IsChanging(name);
     if ((fresh || changing) && view.leaders.size() < kMaxLeaderNews) {
-      view.leaders.push_back({name, group->state.Leader(),
-                              group->state.LeaderTerm(), changing});
+      view.leaders.push_back(
+          {name, group->state.Leader(), group->state.LeaderTerm(), changing});
     }
   }
   return view;
@@ -466,8 +462,8 @@
     return;
   }
   replication::group_state& group = found->second->state;
-  const bool news = belief.term > group.LeaderTerm() &&
-                    group.Find(belief.server) != nullptr;
+  const bool news =
+      belief.term > group.LeaderTerm() && group.Find(belief.server) != nullptr;
   if (!news) {
     return;
   }
@@ -577,15 +573,15 @@
     return answer;
   }
   if (target == "/v1/status") {
-    answer.body = boost::json::serialize(boost::json::object{
-        {"instance", settings_.instance},
-        {"zone", settings_.zone},
-        {"ready", IsReady()},
-        {"stopping", stopping_},
-        {"store_lost", watch_.IsLost()},
-        {"configuration_version", routes_.version},
-        {"live_peers", exchange_.LivePeers()},
-        {"callers", callers_.size()}});
+    answer.body = boost::json::serialize(
+        boost::json::object{{"instance", settings_.instance},
+                            {"zone", settings_.zone},
+                            {"ready", IsReady()},
+                            {"stopping", stopping_},
+                            {"store_lost", watch_.IsLost()},
+                            {"configuration_version", routes_.version},
+                            {"live_peers", exchange_.LivePeers()},
+                            {"callers", callers_.size()}});
     return answer;
   }
   if (target == "/v1/routing") {
--- a/plantaintiller/gateway/leader_keeper.cpp
+++ b/plantaintiller/gateway/leader_keeper.cpp
@@ -96,10 +96,9 @@
 
   // replication::change_host
   core::time_point Now() const override { return core::clock::now(); }
-  void ReadClaim(
-      const std::string& group,
-      std::function<void(std::optional<replication::group_claim>,
-                         core::milliseconds)> done) override;
+  void ReadClaim(const std::string& group,
+                 std::function<void(std::optional<replication::group_claim>,
+                                    core::milliseconds)> done) override;
   void WriteClaim(const std::string& group,
                   const replication::group_claim& claim,
                   std::function<void(store::call_status)> done) override;
@@ -170,29 +169,28 @@
   }
   each.start_armed = true;
   const std::string key = change_settings_.holder + each.group.Name();
-  const core::milliseconds delay(
-      static_cast<std::int64_t>(XXH3_64bits(key.data(), key.size()) %
-                                static_cast<std::uint64_t>(
-                                    kStartSpread.count())));
+  const core::milliseconds delay(static_cast<std::int64_t>(
+      XXH3_64bits(key.data(), key.size()) %
+      static_cast<std::uint64_t>(kStartSpread.count())));
   each.start_timer.expires_at(
       std::max(core::clock::now() + delay, each.not_before));
-  each.start_timer.async_wait([self = shared_from_this(),
-                               &each](error_code cancelled) {
-    each.start_armed = false;
-    if (cancelled || self->stopped_) {
-      return;
-    }
-    const core::time_point now = core::clock::now();
-    if (now < each.not_before) {
-      self->ArmStart(each);
-      return;
-    }
-    const auto reason = self->watch_.ChangeNeeded(each.group, now);
-    if (reason.has_value() && !each.change.IsActive()) {
-      each.change.Start(*reason);
-      self->listener_.OnLeaderChange(each.group.Name());
-    }
-  });
+  each.start_timer.async_wait(
+      [self = shared_from_this(), &each](error_code cancelled) {
+        each.start_armed = false;
+        if (cancelled || self->stopped_) {
+          return;
+        }
+        const core::time_point now = core::clock::now();
+        if (now < each.not_before) {
+          self->ArmStart(each);
+          return;
+        }
+        const auto reason = self->watch_.ChangeNeeded(each.group, now);
+        if (reason.has_value() && !each.change.IsActive()) {
+          each.change.Start(*reason);
+          self->listener_.OnLeaderChange(each.group.Name());
+        }
+      });
 }
 
 void leader_keeper::implementation::Probe(watched_group& each) {
@@ -231,25 +229,24 @@
     const std::string& group,
     std::function<void(std::optional<replication::group_claim>,
                        core::milliseconds)> done) {
-  peers_.rows.Read(
-      kClaimTable, group, kClaimKey,
-      [done = std::move(done)](const store::rows_answer& answer) {
-        if (answer.status != store::call_status::kDone) {
-          done(std::nullopt, core::milliseconds(0));
-          return;
-        }
-        replication::group_claim claim;
-        for (const store::row& each : answer.rows) {
-          if (each.key != kClaimKey) {
-            continue;
-          }
-          if (auto decoded = DecodeClaim(each.value)) {
-            claim = *decoded;
-          }
-          claim.version = each.version;
-        }
-        done(claim, answer.now);
-      });
+  peers_.rows.Read(kClaimTable, group, kClaimKey,
+                   [done = std::move(done)](const store::rows_answer& answer) {
+                     if (answer.status != store::call_status::kDone) {
+                       done(std::nullopt, core::milliseconds(0));
+                       return;
+                     }
+                     replication::group_claim claim;
+                     for (const store::row& each : answer.rows) {
+                       if (each.key != kClaimKey) {
+                         continue;
+                       }
+                       if (auto decoded = DecodeClaim(each.value)) {
+                         claim = *decoded;
+                       }
+                       claim.version = each.version;
+                     }
+                     done(claim, answer.now);
+                   });
 }
 
 void leader_keeper::implementation::WriteClaim(
@@ -327,9 +324,8 @@
   each->group.OnSuccess(leader);
   each->pool.OnGroupChanged();
   listener_.OnLeaderChange(group);
-  boost::asio::post(context_, [self = shared_from_this(), group] {
-    self->Evaluate(group);
-  });
+  boost::asio::post(
+      context_, [self = shared_from_this(), group] { self->Evaluate(group); });
 }
 
 leader_keeper::leader_keeper(boost::asio::io_context& context,
--- a/plantaintiller/gateway/peer_exchange.cpp
+++ b/plantaintiller/gateway/peer_exchange.cpp
@@ -45,7 +45,6 @@
 constexpr core::milliseconds kAskPause{120};
 /// Longest transfer of state.
 constexpr core::milliseconds kTransferTimeout{900};
-constexpr std::size_t kMaxDatagram = 1400;
 /// Largest state: the platform's limit on a configuration, with the servers.
 constexpr std::uint32_t kMaxState = 4U << 20U;
 constexpr std::size_t kToldMembers = 10;
@@ -164,27 +163,26 @@
                       });
   }
   void Read(done received, std::function<void()> lost) {
-    asio::async_read(
-        socket_, asio::buffer(&size_, sizeof(size_)),
-        [self = shared_from_this(), received = std::move(received),
-         lost = std::move(lost)](error_code failed, std::size_t) {
-          if (failed || self->size_ > kMaxState) {
-            self->timer_.cancel();
-            lost();
-            return;
-          }
-          self->in_.resize(self->size_);
-          asio::async_read(self->socket_, asio::buffer(self->in_),
-                           [self, received, lost](error_code error,
-                                                  std::size_t) {
-                             self->timer_.cancel();
-                             if (error) {
-                               lost();
-                             } else {
-                               received(self->in_);
-                             }
-                           });
-        });
+    asio::async_read(socket_, asio::buffer(&size_, sizeof(size_)),
+                     [self = shared_from_this(), received = std::move(received),
+                      lost = std::move(lost)](error_code failed, std::size_t) {
+                       if (failed || self->size_ > kMaxState) {
+                         self->timer_.cancel();
+                         lost();
+                         return;
+                       }
+                       self->in_.resize(self->size_);
+                       asio::async_read(self->socket_, asio::buffer(self->in_),
+                                        [self, received, lost](error_code error,
+                                                               std::size_t) {
+                                          self->timer_.cancel();
+                                          if (error) {
+                                            lost();
+                                          } else {
+                                            received(self->in_);
+                                          }
+                                        });
+                     });
   }
   void Finish() { timer_.cancel(); }
 
@@ -364,8 +362,8 @@
   }
   if (trial && live.size() < members_.size()) {
     auto silent = members_.begin();
-    std::advance(silent, static_cast<std::ptrdiff_t>(random_() %
-                                                     members_.size()));
+    std::advance(silent,
+                 static_cast<std::ptrdiff_t>(random_() % members_.size()));
     SendTo(silent->second.host, bytes);
   }
   if (live.empty()) {
@@ -481,9 +479,8 @@
               Text(each.getHost()));
   }
   for (const auto each : beat.getLeaders()) {
-    listener_.OnPeerLeader(name,
-                           {Text(each.getGroup()), Text(each.getServer()),
-                            each.getTerm(), each.getChanging()});
+    listener_.OnPeerLeader(name, {Text(each.getGroup()), Text(each.getServer()),
+                                  each.getTerm(), each.getChanging()});
   }
   for (const auto each : beat.getFull()) {
     listener_.OnPeerLacksConnection(Text(each.getGroup()),
@@ -538,17 +535,17 @@
 }
 
 void peer_exchange::implementation::Accept() {
-  acceptor_.async_accept([self = shared_from_this()](error_code failed,
-                                                     tcp::socket socket) {
-    if (failed == asio::error::operation_aborted || self->stopped_) {
-      return;
-    }
-    if (!failed) {
-      SetLatencyOptions(socket);
-      self->Serve(std::make_shared<transfer>(std::move(socket)));
-    }
-    self->Accept();
-  });
+  acceptor_.async_accept(
+      [self = shared_from_this()](error_code failed, tcp::socket socket) {
+        if (failed == asio::error::operation_aborted || self->stopped_) {
+          return;
+        }
+        if (!failed) {
+          SetLatencyOptions(socket);
+          self->Serve(std::make_shared<transfer>(std::move(socket)));
+        }
+        self->Accept();
+      });
 }
 
 void peer_exchange::implementation::Serve(
@@ -561,10 +558,10 @@
           capnp::FlatArrayMessageReader reader(words);
           const auto asked = reader.getRoot<wire::StateRequest>();
           with->Arm();
-          with->Write(EncodeState(self->listener_.StateAfter(
-                          asked.getConfigurationVersion(),
-                          asked.getListVersion())),
-                      [with] { with->Finish(); });
+          with->Write(
+              EncodeState(self->listener_.StateAfter(
+                  asked.getConfigurationVersion(), asked.getListVersion())),
+              [with] { with->Finish(); });
         } catch (const kj::Exception& problem) {
           log_line(self->log_, "peers", "unreadable_request")
               .With("detail", problem.getDescription().cStr());
@@ -577,10 +574,8 @@
                              const gateway_settings& settings,
                              event_log& log,
                              peer_listener& listener)
-    : implementation_(std::make_shared<implementation>(context,
-                                                       settings,
-                                                       log,
-                                                       listener)) {}
+    : implementation_(
+          std::make_shared<implementation>(context, settings, log, listener)) {}
 
 peer_exchange::~peer_exchange() {
   implementation_->Stop();
--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -139,8 +139,7 @@
   if (!socket_.non_blocking()) {
     socket_.non_blocking(true, error);
   }
-  const std::size_t sent =
-      socket_.write_some(asio::buffer(output_), error);
+  const std::size_t sent = socket_.write_some(asio::buffer(output_), error);
   if (!error) {
     output_.erase(0, sent);
   } else if (error != asio::error::would_block) {
@@ -165,29 +164,27 @@
 }
 
 void link_implementation::Read() {
-  socket_.async_read_some(
-      asio::buffer(chunk_),
-      [self = Self()](error_code failed, std::size_t size) {
-        if (self->closed_) {
-          return;
-        }
-        if (failed) {
-          self->End(link_end::kLost);
-          return;
-        }
-        self->last_heard_ = core::clock::now();
-        self->input_.append(self->chunk_.data(), size);
-        self->OnBytes();
-        if (!self->closed_) {
-          self->Read();
-        }
-      });
+  socket_.async_read_some(asio::buffer(chunk_),
+                          [self = Self()](error_code failed, std::size_t size) {
+                            if (self->closed_) {
+                              return;
+                            }
+                            if (failed) {
+                              self->End(link_end::kLost);
+                              return;
+                            }
+                            self->last_heard_ = core::clock::now();
+                            self->input_.append(self->chunk_.data(), size);
+                            self->OnBytes();
+                            if (!self->closed_) {
+                              self->Read();
+                            }
+                          });
 }
 
 void link_implementation::OnBytes() {
   while (!closed_) {
-    std::optional<sessions::server_reply> reply =
-        codec_.Take(input_, partial_);
+    std::optional<sessions::server_reply> reply = codec_.Take(input_, partial_);
     if (!reply.has_value()) {
       return;
     }
--- a/plantaintiller/gateway/server_question.h
+++ b/plantaintiller/gateway/server_question.h
@@ -13,7 +13,8 @@
 namespace plantaintiller::gateway {
 
 /// Called with the answer; with nothing if none came in time.
-using question_done = std::function<void(std::optional<sessions::server_reply>)>;
+using question_done =
+    std::function<void(std::optional<sessions::server_reply>)>;
 
 /// Sends one command to one server over the group's pool, ahead of callers'
 /// statements.
--- a/plantaintiller/gateway/statement_metrics.cpp
+++ b/plantaintiller/gateway/statement_metrics.cpp
@@ -35,7 +35,8 @@
   kind_counts& counts = kinds_[KindName(route->kind)];
   (at_leader ? counts.at_leader : counts.at_replica) += 1;
   counts.seconds += std::chrono::duration<double>(took).count();
-  const auto ms = static_cast<std::uint64_t>(core::ToMilliseconds(took).count());
+  const auto ms =
+      static_cast<std::uint64_t>(core::ToMilliseconds(took).count());
   std::size_t bucket = 0;
   while (bucket + 1 < kBuckets && ms >= kBounds[bucket]) {
     ++bucket;
--- a/plantaintiller/gateway/store_watch.cpp
+++ b/plantaintiller/gateway/store_watch.cpp
@@ -61,10 +61,9 @@
 }
 
 void store_watch::FollowRoutes() {
-  rows_.Follow(codec_.ConfigurationTable(), route_version_, kChangesWait,
-               [this](const store::rows_answer& answer) {
-                 OnRouteRows(answer);
-               });
+  rows_.Follow(
+      codec_.ConfigurationTable(), route_version_, kChangesWait,
+      [this](const store::rows_answer& answer) { OnRouteRows(answer); });
 }
 
 void store_watch::OnRouteRows(const store::rows_answer& answer) {
--- a/plantaintiller/model/change_world.cpp
+++ b/plantaintiller/model/change_world.cpp
@@ -22,7 +22,6 @@
 struct log_entry {
   core::term_number term = 0;
   int write = 0;
-  friend bool operator==(const log_entry&, const log_entry&) = default;
 };
 
 /// A backend server with its log.
@@ -114,10 +113,11 @@
   void ExecuteOrder(modeled_server& server,
                     replication::server_order order,
                     core::term_number term);
-  void ExecutePromotion(const std::string& id,
-                        std::uint64_t token,
-                        const std::string& holder,
-                        const std::function<void(store::promotion_status)>& done);
+  void ExecutePromotion(
+      const std::string& id,
+      std::uint64_t token,
+      const std::string& holder,
+      const std::function<void(store::promotion_status)>& done);
   void CompletePromotion(const std::string& id);
   void DrawFault();
   void Crash(modeled_server& server, milliseconds span, bool empty);
@@ -145,7 +145,8 @@
     : around(given), number(which) {
   settings.holder = "instance-" + std::to_string(which);
   settings.faults = given.settings.faults;
-  change = std::make_unique<replication::primary_change>(*this, group, settings);
+  change =
+      std::make_unique<replication::primary_change>(*this, group, settings);
 }
 
 core::time_point modeled_instance::Now() const {
@@ -175,9 +176,9 @@
     std::function<void(store::call_status)> done) {
   around.result.store_calls += 1;
   const bool lost = around.Chance(around.late_percent);
-  const milliseconds delay =
-      lost && around.Chance(50) ? milliseconds(around.Draw(4000))
-                                : around.Hop();
+  const milliseconds delay = lost && around.Chance(50)
+                                 ? milliseconds(around.Draw(4000))
+                                 : around.Hop();
   around.queue.After(delay, [this, done, claim, lost] {
     store::call_status status = store::call_status::kConflict;
     if (around.row.version == claim.version) {
@@ -206,8 +207,8 @@
   const bool late = order != replication::server_order::kStatus &&
                     around.Chance(around.late_percent);
   const bool reachable = !cut.contains(server);
-  const milliseconds delay = late ? milliseconds(2000 + around.Draw(8000))
-                                  : around.Hop();
+  const milliseconds delay =
+      late ? milliseconds(2000 + around.Draw(8000)) : around.Hop();
   if (reachable) {
     around.queue.After(delay, [this, server, order, term, done, late] {
       modeled_server* found = around.Find(server);
@@ -250,14 +251,15 @@
     around.ExecutePromotion(server, token, holder,
                             [this, done, lost](store::promotion_status status) {
                               if (!lost) {
-                                around.Deliver(*this,
-                                               [done, status] { done(status); });
+                                around.Deliver(
+                                    *this, [done, status] { done(status); });
                               }
                             });
   });
   if (lost) {
     around.queue.After(milliseconds(1000), [this, done] {
-      around.Deliver(*this, [done] { done(store::promotion_status::kUnknown); });
+      around.Deliver(*this,
+                     [done] { done(store::promotion_status::kUnknown); });
     });
   }
 }
@@ -470,9 +472,8 @@
 void world::Crash(modeled_server& server, milliseconds span, bool empty) {
   server.alive = false;
   const std::string id = server.id;
-  queue.After(milliseconds(3600), [this, id] {
-    Find(id)->listed = Find(id)->alive;
-  });
+  queue.After(milliseconds(3600),
+              [this, id] { Find(id)->listed = Find(id)->alive; });
   queue.After(span, [this, id, empty] {
     modeled_server* back = Find(id);
     back->alive = true;
@@ -502,9 +503,8 @@
       if (modeled_server* leader = Leader()) {
         Fault("leader " + leader->id + " drains");
         leader->draining = true;
-        queue.After(milliseconds(9000), [this, id = leader->id] {
-          Find(id)->draining = false;
-        });
+        queue.After(milliseconds(9000),
+                    [this, id = leader->id] { Find(id)->draining = false; });
       }
       break;
     case 1:
@@ -538,7 +538,8 @@
     case 6:
       Fault(instance.settings.holder + " cut from " + server.id);
       instance.cut.insert(server.id);
-      queue.After(span, [&instance, id = server.id] { instance.cut.erase(id); });
+      queue.After(span,
+                  [&instance, id = server.id] { instance.cut.erase(id); });
       break;
     default:
       if (server.alive) {
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -238,9 +238,9 @@
     const std::vector<std::string>& excluded,
     core::time_point now) const {
   std::vector<std::pair<double, std::string>> costs;
-  const bool staying = std::any_of(
-      servers_.begin(), servers_.end(),
-      [](const auto& each) { return !each.second.entry.draining; });
+  const bool staying =
+      std::any_of(servers_.begin(), servers_.end(),
+                  [](const auto& each) { return !each.second.entry.draining; });
   for (const auto& [id, each] : servers_) {
     if (staying && each.entry.draining) {
       continue;
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -93,13 +93,12 @@
     return;
   }
   const std::uint64_t round = ++round_;
-  host_.ReadClaim(group_.Name(),
-                  [this, round](std::optional<group_claim> claim,
-                                core::milliseconds store_now) {
-                    if (round == round_ && step_ == step::kClaiming) {
-                      OnClaim(std::move(claim), store_now);
-                    }
-                  });
+  host_.ReadClaim(group_.Name(), [this, round](std::optional<group_claim> claim,
+                                               core::milliseconds store_now) {
+    if (round == round_ && step_ == step::kClaiming) {
+      OnClaim(std::move(claim), store_now);
+    }
+  });
 }
 
 void primary_change::OnClaim(std::optional<group_claim> claim,
@@ -114,8 +113,7 @@
     Ask(step::kAsking);
     return;
   }
-  const bool taken = claim->version > 0 &&
-                     claim->holder != settings_.holder &&
+  const bool taken = claim->version > 0 && claim->holder != settings_.holder &&
                      store_now - claim->claimed_at < settings_.claim_time;
   if (taken) {
     GiveUp("claimed_by_another");
@@ -365,8 +363,7 @@
                          answer.status->received.offset == 0 &&
                          candidate.offset > 0 && !waited &&
                          !settings_.faults.ignore_unknown_replicas;
-    if (unknown(id, answer.status.has_value()) ||
-        (MayConfirm(id) && emptied)) {
+    if (unknown(id, answer.status.has_value()) || (MayConfirm(id) && emptied)) {
       return true;
     }
   }
@@ -486,19 +483,18 @@
     HoldOthers();
   }
   const std::uint64_t round = ++round_;
-  host_.Order(
-      group_.Name(), candidate_, server_order::kStatus, 0,
-      [this, round](std::optional<sessions::server_status> status) {
-        if (round != round_ || step_ != step::kFollowing) {
-          return;
-        }
-        if (status.has_value() && status->is_primary) {
-          group_.OnLeaderSeen(candidate_, status->term, host_.Now());
-          Finish(candidate_);
-          return;
-        }
-        host_.SetTimer(group_.Name(), kFollowPause);
-      });
+  host_.Order(group_.Name(), candidate_, server_order::kStatus, 0,
+              [this, round](std::optional<sessions::server_status> status) {
+                if (round != round_ || step_ != step::kFollowing) {
+                  return;
+                }
+                if (status.has_value() && status->is_primary) {
+                  group_.OnLeaderSeen(candidate_, status->term, host_.Now());
+                  Finish(candidate_);
+                  return;
+                }
+                host_.SetTimer(group_.Name(), kFollowPause);
+              });
 }
 
 void primary_change::Again(const char* why) {
@@ -527,25 +523,25 @@
   // Accepted for the present leader, the call changes nothing but the newest
   // token: no earlier call can be carried out any more.
   const std::uint64_t round = ++round_;
-  host_.Promote(
-      group_.Name(), old_leader_, token_,
-      [this, round](store::promotion_status status) {
-        if (round != round_ || step_ != step::kLifting) {
-          return;
-        }
-        if (status != store::promotion_status::kAccepted) {
-          host_.SetTimer(group_.Name(), settings_.retry_pause);
-          return;
-        }
-        for (const auto& [id, answer] : answers_) {
-          if (id != old_leader_) {
-            host_.Order(group_.Name(), id, server_order::kResume, 0,
-                        [](std::optional<sessions::server_status>) {});
-          }
-        }
-        holds_ = false;
-        GiveUp("lifted");
-      });
+  host_.Promote(group_.Name(), old_leader_, token_,
+                [this, round](store::promotion_status status) {
+                  if (round != round_ || step_ != step::kLifting) {
+                    return;
+                  }
+                  if (status != store::promotion_status::kAccepted) {
+                    host_.SetTimer(group_.Name(), settings_.retry_pause);
+                    return;
+                  }
+                  for (const auto& [id, answer] : answers_) {
+                    if (id != old_leader_) {
+                      host_.Order(
+                          group_.Name(), id, server_order::kResume, 0,
+                          [](std::optional<sessions::server_status>) {});
+                    }
+                  }
+                  holds_ = false;
+                  GiveUp("lifted");
+                });
 }
 
 void primary_change::GiveUp(const char* why) {
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -55,10 +55,9 @@
   virtual core::time_point Now() const = 0;
   /// Reads the group's claim. @param done gets nothing if the store did not
   /// answer; a claim with version 0 if there is none; and the store's clock.
-  virtual void ReadClaim(
-      const std::string& group,
-      std::function<void(std::optional<group_claim>, core::milliseconds)>
-          done) = 0;
+  virtual void ReadClaim(const std::string& group,
+                         std::function<void(std::optional<group_claim>,
+                                            core::milliseconds)> done) = 0;
   /// Replaces the claim if it has still the given version.
   /// @param done gets the status, and on success the new row's version.
   virtual void WriteClaim(const std::string& group,
@@ -187,8 +186,7 @@
   /// Whether a replica that cannot be asked may hold commits that the candidate
   /// lacks.
   bool IsReplicaUnknown(core::log_position candidate) const;
-  bool HasAllOf(const std::string& missing,
-                core::log_position candidate) const;
+  bool HasAllOf(const std::string& missing, core::log_position candidate) const;
   /// Whether the candidate has what the leader may have acknowledged.
   bool HasAllThatLeaderHad(core::log_position candidate) const;
   void Promote();
--- a/plantaintiller/serve/decision_duty.cpp
+++ b/plantaintiller/serve/decision_duty.cpp
@@ -350,8 +350,7 @@
 }
 
 void decision_duty::ReadConfiguration(std::uint64_t known_version) {
-  rings_.to_platform.TrySend(
-      tables::read_configuration_command{known_version});
+  rings_.to_platform.TrySend(tables::read_configuration_command{known_version});
 }
 
 void decision_duty::PullConfiguration(core::instance_id from) {
--- a/plantaintiller/serve/entry_instance.cpp
+++ b/plantaintiller/serve/entry_instance.cpp
@@ -17,9 +17,9 @@
 #include "plantaintiller/instances/peer_loop.h"
 #include "plantaintiller/metrics/registry.h"
 #include "plantaintiller/operators/operator_service.h"
-#include "plantaintiller/tables/platform_duty.h"
 #include "plantaintiller/serve/channels.h"
 #include "plantaintiller/serve/decision_duty.h"
+#include "plantaintiller/tables/platform_duty.h"
 
 namespace plantaintiller::serve {
 
@@ -123,9 +123,8 @@
     });
     rings_.to_platform.OnWake([this] {
       platform_.Post([this] {
-        rings_.to_platform.Drain([this](const tables::command& given) {
-          platform_duty_.Do(given);
-        });
+        rings_.to_platform.Drain(
+            [this](const tables::command& given) { platform_duty_.Do(given); });
       });
     });
     rings_.to_operators.OnWake([this] {
--- a/plantaintiller/sessions/codec.h
+++ b/plantaintiller/sessions/codec.h
@@ -46,10 +46,9 @@
                            std::string_view server) = 0;
   /// Appends a caller's statement with its id and text unchanged.
   /// @param at_least log position that the server must have; nothing for any.
-  virtual void AppendStatement(
-      std::string& out,
-      const statement& request,
-      std::optional<core::log_position> at_least) = 0;
+  virtual void AppendStatement(std::string& out,
+                               const statement& request,
+                               std::optional<core::log_position> at_least) = 0;
   /// Appends the execution of a prepared statement under the name that the
   /// server knows it by.
   virtual void AppendExecute(std::string& out,
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -16,9 +16,9 @@
 /// prepared, so that all sessions of a connection share it.
 std::string ServerName(bool writes, const std::string& shape) {
   char name[24];
-  std::snprintf(name, sizeof(name), "%c%016llx", writes ? 'w' : 'r',
-                static_cast<unsigned long long>(
-                    XXH3_64bits(shape.data(), shape.size())));
+  std::snprintf(
+      name, sizeof(name), "%c%016llx", writes ? 'w' : 'r',
+      static_cast<unsigned long long>(XXH3_64bits(shape.data(), shape.size())));
   return name;
 }
 
@@ -346,9 +346,8 @@
   connection_->Send(out, static_cast<int>(outstanding_.size()));
 }
 
-void session_engine::SendStatement(
-    std::string out,
-    std::optional<core::log_position> at_least) {
+void session_engine::SendStatement(std::string out,
+                                   std::optional<core::log_position> at_least) {
   if (current_.kind == statement_kind::kExecute) {
     const prepared_statement& wanted = prepared_.at(current_.name);
     host_.Servers().AppendExecute(
@@ -395,7 +394,7 @@
     case reply_role::kRollback:
       break;
     case reply_role::kStatement:
-      OnStatementReply(std::move(reply));
+      OnStatementReply(reply);
       return;
   }
   if (outstanding_.empty() && phase_ == phase::kProving) {
@@ -436,7 +435,7 @@
   SendStatement({}, position);
 }
 
-void session_engine::OnStatementReply(server_reply reply) {
+void session_engine::OnStatementReply(const server_reply& reply) {
   replication::group_state* group = host_.Group(route_->group);
   if (group != nullptr) {
     group->OnSuccess(server_);
@@ -687,8 +686,7 @@
 void session_engine::FailTransaction(const char* reason) {
   LeaveConnection(leave_kind::kRollBack);
   // Nothing of a transaction is kept before its commit was sent.
-  transaction_ =
-      IsCommit() ? transaction::kNone : transaction::kFailed;
+  transaction_ = IsCommit() ? transaction::kNone : transaction::kFailed;
   Finish(failure_code::kAborted, reason, State());
 }
 
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -97,9 +97,7 @@
   bool ResolveRoute();
   bool NeedsLeader() const;
   bool Writes() const;
-  bool IsCommit() const {
-    return current_.kind == statement_kind::kCommit;
-  }
+  bool IsCommit() const { return current_.kind == statement_kind::kCommit; }
   bool HasTransaction() const { return transaction_ != transaction::kNone; }
 
   void StartAttempt();
@@ -109,12 +107,14 @@
   core::time_point PatienceEnd() const;
   std::optional<core::log_position> PositionForRead() const;
   int AppendSetUp(std::string& out);
-  void Prove(std::string out, bool keep_open, bool read_only,
+  void Prove(std::string out,
+             bool keep_open,
+             bool read_only,
              std::optional<core::log_position> at_least);
   void SendStatement(std::string out,
                      std::optional<core::log_position> at_least);
   void OnProved();
-  void OnStatementReply(server_reply reply);
+  void OnStatementReply(const server_reply& reply);
   void OnSuccess(const server_reply& reply);
   void OnFailure(const server_reply& reply);
   void OnCommitFailure(const server_reply& reply, bool not_run);
--- a/tests/platform/directory_json_codec_test.cpp
+++ b/tests/platform/directory_json_codec_test.cpp
@@ -51,7 +51,8 @@
            {R"("born":17)", R"("born":"17")"},
            {R"("zone":"z")", R"("zone":[])"},
            {R"({"service")", R"([{"service")"}}) {
-    CHECK_FALSE(codec.DecodeServer("i", Replaced(kServer, from, to)).has_value());
+    CHECK_FALSE(
+        codec.DecodeServer("i", Replaced(kServer, from, to)).has_value());
   }
   CHECK_FALSE(codec.DecodeServer("i", "").has_value());
   CHECK_FALSE(codec.DecodeServer("i", "\xff\xfe").has_value());
--- a/tests/platform/line_codec_test.cpp
+++ b/tests/platform/line_codec_test.cpp
@@ -58,7 +58,8 @@
   CHECK(codec.Take(endless)->kind == message_kind::kTooLarge);
   std::string big = "QUERY 1 WRITE a " + std::string(kMaxMessage, 'x') + "\r\n";
   CHECK(codec.Take(big)->kind == message_kind::kTooLarge);
-  for (const char* line : {"\r\n", "HELLO\r\n", "QUERY\r\n", "query 1 READ\r\n"}) {
+  for (const char* line :
+       {"\r\n", "HELLO\r\n", "QUERY\r\n", "query 1 READ\r\n"}) {
     std::string buffer = line;
     CHECK(codec.Take(buffer)->kind == message_kind::kMalformed);
   }
@@ -67,7 +68,8 @@
 TEST_CASE("line codec: answers of servers, interleaved in one read") {
   server_line_codec codec;
   std::string buffer =
-      "READY I 3.1\r\nDATAROW a b\r\nDATAROW c\r\nCOMPLETE r.1\r\nREADY T 3.2\r\n"
+      "READY I 3.1\r\nDATAROW a b\r\nDATAROW c\r\nCOMPLETE r.1\r\nREADY T "
+      "3.2\r\n"
       "ERROR LAGGING too far\r\nREADY E -\r\nERROR CONNLIMIT 16\r\n";
   server_reply partial;
   const auto opened = codec.Take(buffer, partial);
@@ -134,9 +136,12 @@
 TEST_CASE("line codec: no bytes make either end fail or stall") {
   // Random pieces of real lines and noise, cut at random places.
   const std::vector<std::string> pieces{
-      "QUERY ", "START ",   "READY ", "DATAROW ", "COMPLETE ", "ERROR ",
-      "BEGIN",  "PREPARE ", "\r\n",   "\n",       " ",         "I ",
-      "3.1",    "-",        "BUSY",   "\r",       "x",         std::string(1, '\0')};
+      "QUERY ",   "START ",    "READY ",
+      "DATAROW ", "COMPLETE ", "ERROR ",
+      "BEGIN",    "PREPARE ",  "\r\n",
+      "\n",       " ",         "I ",
+      "3.1",      "-",         "BUSY",
+      "\r",       "x",         std::string(1, '\0')};
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
     std::mt19937_64 random(seed);
     caller_line_codec callers;
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-const std::map<std::string, distance> kZones{
-    {"near", distance::kSameZone}, {"far", distance::kOtherRegion}};
+const std::map<std::string, distance> kZones{{"near", distance::kSameZone},
+                                             {"far", distance::kOtherRegion}};
 
 server_entry Entry(const char* id, const char* zone, bool leads) {
   server_entry made;
@@ -25,8 +25,10 @@
 
 /// A group of a leader `a` and replicas `b`, near, and `c`, far.
 struct group_fixture {
-  group_fixture() { List({Entry("a", "near", true), Entry("b", "near", false),
-                          Entry("c", "far", false)}); }
+  group_fixture() {
+    List({Entry("a", "near", true), Entry("b", "near", false),
+          Entry("c", "far", false)});
+  }
   void List(const std::vector<server_entry>& servers) {
     group.OnList(servers, kZones, now);
   }
--- a/tests/sessions/session_engine_test.cpp
+++ b/tests/sessions/session_engine_test.cpp
@@ -45,14 +45,15 @@
   session.Say("QUERY 7 READ 1a4");
   fake_connection& former = session.Grant("a");
   former.TakeSent();
-  session.Answer({"ERROR READONLY a", "READY I 3.5", "ERROR MALFORMED x",
-                  "READY I 3.5"});
+  session.Answer(
+      {"ERROR READONLY a", "READY I 3.5", "ERROR MALFORMED x", "READY I 3.5"});
   CHECK(former.TakeSent().empty());
   CHECK(session.host.not_leader == std::vector<std::string>{"a"});
   CHECK(session.host.replies.empty());
 }
 
-TEST_CASE("a bounded read goes anywhere with the oldest position that will do") {
+TEST_CASE(
+    "a bounded read goes anywhere with the oldest position that will do") {
   session_fixture session("bounded");
   session.host.group.Proofs().OnProof(session.host.now, {3, 5});
   session.Pass(milliseconds(1000));
@@ -82,7 +83,8 @@
   CHECK(session.Grant("b").TakeSent() == "QUERY 2 WAITLSN 3.8 READ k\r\n");
 }
 
-TEST_CASE("a read-only transaction at a server believed to lead proves nothing") {
+TEST_CASE(
+    "a read-only transaction at a server believed to lead proves nothing") {
   // Seen as STALE on hunt-cb39-11: the server had lost the lead, and its log
   // passed as a proof for a second and a half.
   session_fixture session("bounded");
--- a/tests/sessions/session_fixture.h
+++ b/tests/sessions/session_fixture.h
@@ -90,7 +90,9 @@
   void OnServerTrouble(const std::string&, const std::string& server) override {
     trouble.push_back(server);
   }
-  void Note(const request_note& note) override { notes.emplace_back(note.event); }
+  void Note(const request_note& note) override {
+    notes.emplace_back(note.event);
+  }
   void Count(const core::route*, bool, core::duration, const char*) override {}
 
   std::string TakeReplies() { return std::exchange(replies, ""); }
