A change is announced once claimed; requests refused at once without hope of a leader

Change: HasClaim is announced; after 3 s without a leader requests that need one are refused at once; a dark server is noticed after 450 ms.

--- a/plantaintiller/gateway/leader_keeper.cpp
+++ b/plantaintiller/gateway/leader_keeper.cpp
@@ -83,7 +83,7 @@
   void OnOtherChanging(const std::string& name);
   bool IsChanging(const std::string& name) const {
     const auto found = groups_.find(name);
-    return found != groups_.end() && found->second->change.IsActive();
+    return found != groups_.end() && found->second->change.HasClaim();
   }
   void Stop() {
     stopped_ = true;
@@ -120,6 +120,9 @@
     // JSON numbers are read back exactly up to 2^53.
     return random_() >> 12U;
   }
+  void OnChangeClaimed(const std::string& group) override {
+    listener_.OnLeaderChange(group);
+  }
   void OnChangeDone(const std::string& group,
                     const std::string& leader,
                     core::term_number term) override;
--- a/plantaintiller/gateway/leader_keeper.h
+++ b/plantaintiller/gateway/leader_keeper.h
@@ -30,7 +30,7 @@
 class leader_keeper_listener {
  public:
   virtual ~leader_keeper_listener() = default;
-  /// A change of a group's leader started or ended.
+  /// A change of a group's leader was claimed or ended.
   virtual void OnLeaderChange(const std::string& group) = 0;
 };
 
@@ -51,7 +51,7 @@
   void Evaluate(const std::string& group);
   /// Another instance changes the group's leader now.
   void OnOtherChanging(const std::string& group);
-  /// Groups whose leader this instance is changing.
+  /// Whether this instance holds the claim to change the group's leader.
   bool IsChanging(const std::string& group) const;
   void Stop();
 
--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -20,9 +20,10 @@
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
-/// Longest time to open a link: a lost packet is sent again after one second,
-/// and trying anew is faster.
-constexpr core::milliseconds kOpenTimeout{900};
+/// Longest time to open a link: a round trip between regions and a wait for a
+/// slot behind a full queue. A lost packet is sent again only after a second,
+/// and a server that has gone dark must be noticed sooner.
+constexpr core::milliseconds kOpenTimeout{450};
 /// Longest time for the answers that a session left behind.
 constexpr core::milliseconds kCleanUpTimeout{2500};
 constexpr std::size_t kReadSize = 8192;
--- a/plantaintiller/model/change_world.cpp
+++ b/plantaintiller/model/change_world.cpp
@@ -69,6 +69,7 @@
                std::function<void(store::promotion_status)> done) override;
   void SetTimer(const std::string& group, milliseconds pause) override;
   std::uint64_t DrawNonce() override;
+  void OnChangeClaimed(const std::string&) override {}
   void OnChangeDone(const std::string&,
                     const std::string&,
                     core::term_number) override {}
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -150,6 +150,15 @@
   return leader_.empty() ? std::optional(leaderless_since_) : std::nullopt;
 }
 
+core::duration group_state::LeaderTroubleFor(core::time_point now) const {
+  const auto leader = servers_.find(leader_);
+  if (leader == servers_.end()) {
+    return now - leaderless_since_;
+  }
+  return leader->second.failures > 0 ? now - leader->second.failing_since
+                                     : core::duration(0);
+}
+
 std::optional<core::time_point> group_state::GoneSince(
     const std::string& server) const {
   const auto found = gone_.find(server);
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -103,6 +103,9 @@
   const std::string& LastLeader() const { return last_leader_; }
   /// Since when no server leads; nothing while one does.
   std::optional<core::time_point> LeaderlessSince() const;
+  /// For how long the group has had no leader, or one that does not answer.
+  /// @return zero if it has one that does.
+  core::duration LeaderTroubleFor(core::time_point now) const;
   /// A server that left the list lately, or lost its state.
   struct gone_server {
     server_entry entry;
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -146,6 +146,7 @@
     host_.NoteChange(group_.Name(), "claimed",
                      "token " + std::to_string(token_));
     Ask(step::kAsking);
+    host_.OnChangeClaimed(group_.Name());
     return;
   }
   if (status == store::call_status::kConflict) {
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -77,6 +77,8 @@
   /// Calls `OnTimer` after a pause, in place of an earlier request.
   virtual void SetTimer(const std::string& group, core::milliseconds pause) = 0;
   virtual std::uint64_t DrawNonce() = 0;
+  /// This instance holds the group's claim now.
+  virtual void OnChangeClaimed(const std::string& group) = 0;
   /// The change is over. @param leader empty if it was given up.
   virtual void OnChangeDone(const std::string& group,
                             const std::string& leader,
@@ -148,6 +150,9 @@
   /// Starts, unless one is in progress.
   void Start(change_reason reason);
   bool IsActive() const { return step_ != step::kIdle; }
+  /// Whether this instance holds the claim. Before that, others may well be
+  /// nearer to the store and should not wait for it.
+  bool HasClaim() const { return IsActive() && step_ != step::kClaiming; }
   void OnTimer();
 
  private:
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -6,8 +6,6 @@
 #include <cstdio>
 #include <utility>
 
-#include "plantaintiller/replication/leader_watch.h"
-
 namespace plantaintiller::sessions {
 
 namespace {
@@ -260,17 +258,28 @@
 }
 
 bool session_engine::AwaitsLeader() const {
+  const core::duration trouble = LeaderTrouble();
+  return trouble > core::duration(0) && trouble < settings_.leader_patience;
+}
+
+core::duration session_engine::LeaderTrouble() const {
   replication::group_state* group = host_.Group(route_->group);
-  return group != nullptr && (group->LeaderlessSince().has_value() ||
-                              replication::leader_watch::IsSuspected(*group));
+  return group == nullptr ? core::duration(0)
+                          : group->LeaderTroubleFor(host_.Now());
 }
 
 core::time_point session_engine::PatienceEnd() const {
-  // A change of leader ends within the time of a statement, mostly; a full
-  // queue is better met by returning later.
-  return AwaitsLeader()
-             ? deadline_
-             : std::min(deadline_, arrived_ + route_->latency_objective);
+  if (!NeedsLeader()) {
+    return std::min(deadline_, arrived_ + route_->latency_objective);
+  }
+  if (AwaitsLeader()) {
+    return deadline_;
+  }
+  // Nobody can say when a change that takes this long will end.
+  if (LeaderTrouble() >= settings_.leader_patience) {
+    return arrived_;
+  }
+  return std::min(deadline_, arrived_ + route_->latency_objective);
 }
 
 int session_engine::AppendSetUp(std::string& out) {
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -25,6 +25,9 @@
   core::milliseconds trusted_silence{500};
   /// Pause before a busy server is asked again: about one statement.
   core::milliseconds busy_pause{25};
+  /// How long a group may be without a leader before requests that need one are
+  /// refused at once: a change of primary with one repetition.
+  core::milliseconds leader_patience{3000};
   /// Tries of one statement.
   int max_attempts = 8;
 };
@@ -101,8 +104,10 @@
   bool HasTransaction() const { return transaction_ != transaction::kNone; }
 
   void StartAttempt();
-  /// Whether the group has no leader, or one that does not answer.
+  /// Whether a new leader can be expected within the time of a request.
   bool AwaitsLeader() const;
+  /// For how long the group has had no leader that answers.
+  core::duration LeaderTrouble() const;
   /// Until when the request waits for a connection.
   core::time_point PatienceEnd() const;
   std::optional<core::log_position> PositionForRead() const;
--- a/tests/sessions/session_engine_test.cpp
+++ b/tests/sessions/session_engine_test.cpp
@@ -257,4 +257,18 @@
   CHECK(session.host.TakeReplies().starts_with("ERROR BUSY"));
 }
 
+TEST_CASE("without a leader a request waits for a change, then is refused") {
+  session_fixture session("primary");
+  session.host.group.OnNotLeader("a", session.host.now);
+  session.Pass(milliseconds(100));
+  session.Say("QUERY 1 READ k");
+  CHECK(*session.host.timer == session.host.now + milliseconds(1000));
+  session.engine.OnCallerGone();
+  session.Pass(milliseconds(3000));
+  session.Say("QUERY 2 READ k");
+  CHECK(*session.host.timer == session.host.now);
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().starts_with("ERROR BUSY"));
+}
+
 }  // namespace plantaintiller::sessions
