A stand-in backend ends cleanly with open connections

Cause: pending handlers held sessions beyond their service, which they told of their end: SIGSEGV when scripts/demo ended. Change: the service closes its sessions and the context runs once more. Test: tests/processes/test_standin.py, failed before (-11).

--- a/plantaintiller/cli/standin_commands.cpp
+++ b/plantaintiller/cli/standin_commands.cpp
@@ -62,7 +62,12 @@
   settings.lag = core::milliseconds(values.Number("lag-ms"));
   boost::asio::io_context context(1);
   standin::backend_service service(context, settings);
-  return ListenAndRun(context, service);
+  const int status = ListenAndRun(context, service);
+  // Sessions refer to the service: they end before it does.
+  service.Stop();
+  context.restart();
+  context.poll();
+  return status;
 }
 
 std::vector<option> standin_platform_command::Options() const {
--- a/plantaintiller/standin/backend_service.cpp
+++ b/plantaintiller/standin/backend_service.cpp
@@ -49,6 +49,15 @@
       });
 }
 
+void backend_service::Stop() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  follower_.Stop();
+  for (backend_session* each : sessions_) {
+    each->Close();
+  }
+}
+
 bool backend_service::TakeConnection(const backend_session* session) {
   if (counted_.size() >= settings_.connections) {
     return false;
--- a/plantaintiller/standin/backend_service.h
+++ b/plantaintiller/standin/backend_service.h
@@ -37,6 +37,10 @@
   /// Opens the listening socket. @return the port.
   std::uint16_t Listen();
 
+  /// Closes everything. The context must run once more afterwards, so that no
+  /// session outlives the service.
+  void Stop();
+
   /// @name For sessions
   /// @{
   backend_node& Node() { return node_; }
--- a/plantaintiller/standin/backend_session.cpp
+++ b/plantaintiller/standin/backend_session.cpp
@@ -77,6 +77,12 @@
   service_.Node().Rollback(this);
 }
 
+void backend_session::Close() {
+  boost::system::error_code ignored;
+  wait_timer_.cancel();
+  socket_.close(ignored);
+}
+
 void backend_session::Resume() {
   if (current_.has_value()) {
     Process();
--- a/plantaintiller/standin/backend_session.h
+++ b/plantaintiller/standin/backend_session.h
@@ -28,6 +28,8 @@
   /// From now on answers nothing, with the socket left open; what was open on
   /// the connection is rolled back.
   void GoSilent();
+  /// Closes the connection; what is pending on it ends.
+  void Close();
   bool IsControl() const { return control_; }
 
  private:
