A server that leaves for too long gets no work, by the settings' drain limit

Change: limits follow drain-ms; unused settings removed. Test: group_state_test, a leader that leaves for too long.

--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -142,7 +142,8 @@
     order.push_back(need.server);
   } else if (!need.leader) {
     order = group_.ReadOrder(need.excluded, core::clock::now());
-  } else if (!group_.Leader().empty()) {
+  } else if (!group_.Leader().empty() &&
+             group_.MayGetWork(group_.Leader(), core::clock::now())) {
     order.push_back(group_.Leader());
   }
   for (const std::string& id : order) {
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -50,8 +50,9 @@
   group_entry(asio::io_context& context,
               sessions::server_codec& codec,
               const std::string& name,
+              core::milliseconds leave_limit,
               connection_pool::listener& events)
-      : state(name), pool(context, codec, state, events) {}
+      : state(name, leave_limit), pool(context, codec, state, events) {}
   replication::group_state state;
   connection_pool pool;
 };
@@ -76,7 +77,12 @@
         signals_(context, SIGTERM, SIGINT),
         reload_(context, SIGHUP),
         stop_timer_(context),
-        watch_(context, peers.rows, peers.directory, log_, *this),
+        watch_(context,
+               peers.rows,
+               peers.directory,
+               log_,
+               settings.drain_limit,
+               *this),
         exchange_(context, settings, log_, *this),
         registry_(context, settings, peers.rows, exchange_),
         keeper_(
@@ -150,6 +156,12 @@
     return made;
   }
 
+  /// A list may be old by one read and a heartbeat of its relay, and work takes
+  /// a moment to arrive.
+  core::milliseconds LeaveLimit() const {
+    return std::max(settings_.drain_limit / 4,
+                    settings_.drain_limit - core::milliseconds(2500));
+  }
   bool IsReady() const {
     return !stopping_ && routes_.version > 0 && servers_known_;
   }
@@ -342,8 +354,8 @@
 group_entry& gateway::implementation::EnsureGroup(const std::string& name) {
   std::unique_ptr<group_entry>& entry = groups_[name];
   if (entry == nullptr) {
-    entry =
-        std::make_unique<group_entry>(context_, peers_.servers, name, *this);
+    entry = std::make_unique<group_entry>(context_, peers_.servers, name,
+                                          LeaveLimit(), *this);
     keeper_.Add(entry->state, entry->pool);
   }
   return *entry;
--- a/plantaintiller/gateway/gateway_settings.h
+++ b/plantaintiller/gateway/gateway_settings.h
@@ -38,8 +38,6 @@
   core::milliseconds shutdown_grace{6000};
   /// Time after which a leaving server must get no more work.
   core::milliseconds drain_limit{7000};
-  /// Pause between reports of a server's state.
-  core::milliseconds server_heartbeat{1200};
   /// Most sockets that may be open.
   std::size_t max_sockets = 1000;
   sessions::session_settings session;
--- a/plantaintiller/gateway/store_watch.cpp
+++ b/plantaintiller/gateway/store_watch.cpp
@@ -12,8 +12,8 @@
 /// Pause between reads of the list of servers: well inside the time in which a
 /// leaving server must get no more work, at an affordable number of calls.
 constexpr core::milliseconds kServerPause{1000};
-/// Pause of instances for which relays read: they notice relays that are wrong
-/// about being relays within a heartbeat or two of each other.
+/// Longest pause of instances for which relays read: half of the time in which
+/// a leaving server must get no more work, if that is shorter.
 constexpr core::milliseconds kFollowerPause{8000};
 /// Least pause between reads out of turn.
 constexpr core::milliseconds kLeastPause{150};
@@ -32,13 +32,15 @@
                          store::row_store& rows,
                          const directory_codec& codec,
                          event_log& log,
+                         core::milliseconds drain_limit,
                          store_watch_listener& listener)
     : rows_(rows),
       codec_(codec),
       log_(log),
       listener_(listener),
       route_timer_(context),
-      server_timer_(context) {}
+      server_timer_(context),
+      follower_pause_(std::min(kFollowerPause, drain_limit / 2)) {}
 
 void store_watch::Start() {
   ReadRoutes();
@@ -108,7 +110,7 @@
     return;
   }
   if (listener_.IsFollower()) {
-    route_timer_.expires_after(kFollowerPause);
+    route_timer_.expires_after(follower_pause_);
     route_timer_.async_wait([this](error_code cancelled) {
       if (!cancelled) {
         FollowRoutes();
@@ -190,7 +192,7 @@
     servers.push_back(entry);
   }
   listener_.OnServers(std::move(servers), answer.newest);
-  ScheduleServers(listener_.IsFollower() ? kFollowerPause : kServerPause);
+  ScheduleServers(listener_.IsFollower() ? follower_pause_ : kServerPause);
 }
 
 void store_watch::OnFailure() {
--- a/plantaintiller/gateway/store_watch.h
+++ b/plantaintiller/gateway/store_watch.h
@@ -34,10 +34,13 @@
 class store_watch {
  public:
   /// All references must outlive the watch.
+  /// @param drain_limit time after which a leaving server must get no more
+  /// work.
   store_watch(boost::asio::io_context& context,
               store::row_store& rows,
               const directory_codec& codec,
               event_log& log,
+              core::milliseconds drain_limit,
               store_watch_listener& listener);
 
   void Start();
@@ -63,6 +66,7 @@
   store_watch_listener& listener_;
   boost::asio::steady_timer route_timer_;
   boost::asio::steady_timer server_timer_;
+  core::milliseconds follower_pause_;
   bool stopped_ = false;
   bool reading_servers_ = false;
   store::row_version route_version_ = 0;
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -115,7 +115,7 @@
   if (!kept.lapsed_since.has_value()) {
     kept.lapsed_since = now;
   }
-  if (now - *kept.lapsed_since < kKeepLapsed) {
+  if (now - *kept.lapsed_since < leave_limit_) {
     next.emplace(leader_, std::move(kept));
   }
 }
@@ -243,6 +243,13 @@
   }
 }
 
+bool group_state::MayGetWork(const std::string& server,
+                             core::time_point now) const {
+  const auto found = servers_.find(server);
+  return found == servers_.end() || !found->second.draining_since.has_value() ||
+         now - *found->second.draining_since < leave_limit_;
+}
+
 std::vector<std::string> group_state::ReadOrder(
     const std::vector<std::string>& excluded,
     core::time_point now) const {
@@ -251,7 +258,7 @@
       std::any_of(servers_.begin(), servers_.end(),
                   [](const auto& each) { return !each.second.entry.draining; });
   for (const auto& [id, each] : servers_) {
-    if (staying && each.entry.draining) {
+    if ((staying && each.entry.draining) || !MayGetWork(id, now)) {
       continue;
     }
     if (std::find(excluded.begin(), excluded.end(), id) == excluded.end()) {
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -64,7 +64,11 @@
     int unanswered_writes = 0;
   };
 
-  explicit group_state(std::string name) : name_(std::move(name)) {}
+  /// @param leave_limit how long a server gets work after it was seen to leave,
+  /// draining or off the list.
+  explicit group_state(std::string name,
+                       core::milliseconds leave_limit = kLeaveLimit)
+      : name_(std::move(name)), leave_limit_(leave_limit) {}
 
   const std::string& Name() const { return name_; }
   freshness& Proofs() { return proofs_; }
@@ -123,6 +127,10 @@
   std::vector<std::string> ReadOrder(const std::vector<std::string>& excluded,
                                      core::time_point now) const;
 
+  /// Whether a server may be sent new work: not once it has been leaving for
+  /// too long, even if no other leads yet.
+  bool MayGetWork(const std::string& server, core::time_point now) const;
+
   const std::map<std::string, server>& Servers() const { return servers_; }
   server* Find(const std::string& id);
 
@@ -140,9 +148,8 @@
   /// all are never further behind.
   static constexpr core::milliseconds kRememberGone{30000};
 
-  /// How long a leader that is not listed is kept: less than the time in which
-  /// a server that is gone must get no more work.
-  static constexpr core::milliseconds kKeepLapsed{5000};
+  /// For tests: as on both users' sites.
+  static constexpr core::milliseconds kLeaveLimit{5000};
 
   void SetLeader(const std::string& server, core::time_point now);
   void KeepLapsedLeader(std::map<std::string, server>& next,
@@ -151,6 +158,7 @@
                     core::time_point now);
 
   std::string name_;
+  core::milliseconds leave_limit_;
   std::map<std::string, server> servers_;
   std::map<std::string, gone_server> gone_;
   std::string last_leader_;
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -63,6 +63,21 @@
         std::vector<std::string>{"a", "c"});
 }
 
+TEST_CASE("group_state: a leader that leaves for too long gets no more work") {
+  // Its replacement may have to wait, for a replica that cannot be asked.
+  group_fixture fixture;
+  server_entry leaving = Entry("a", "near", true);
+  leaving.draining = true;
+  fixture.List({leaving, Entry("b", "near", false)});
+  fixture.now += milliseconds(4900);
+  CHECK(fixture.group.MayGetWork("a", fixture.now));
+  fixture.now += milliseconds(100);
+  CHECK_FALSE(fixture.group.MayGetWork("a", fixture.now));
+  CHECK(fixture.group.MayGetWork("b", fixture.now));
+  CHECK(fixture.group.ReadOrder({}, fixture.now) ==
+        std::vector<std::string>{"b"});
+}
+
 TEST_CASE("group_state: a refusal deposes a leader that the list still names") {
   group_fixture fixture;
   fixture.group.OnNotLeader("a", fixture.now);
