--- a/tests/sessions/session_engine_test.cpp
+++ b/tests/platform/session_lines_test.cpp
@@ -2,12 +2,13 @@
 
 #include <doctest/doctest.h>
 
-#include "tests/sessions/session_fixture.h"
+#include "tests/platform/session_fixture.h"
 
 namespace plantaintiller::sessions {
 
 using core::milliseconds;
 
+// The session engine, driven by the lines that callers and servers exchange.
 TEST_CASE("a name without a route is refused at the start") {
   session_fixture session("absent");
   CHECK(session.host.closed);
