--- /dev/null
+++ b/plantaintiller/forwarding/forwarded_stream.cpp
@@ -0,0 +1,84 @@
+#include "plantaintiller/forwarding/forwarded_stream.h"
+
+#include <utility>
+
+namespace plantaintiller::forwarding {
+
+forwarded_stream::forwarded_stream(std::string group,
+                                   std::string database,
+                                   forwarded_listener& listener)
+    : group_(std::move(group)),
+      database_(std::move(database)),
+      listener_(&listener) {}
+
+void forwarded_stream::OpenAt(frame_sink& sink, std::uint64_t session) {
+  sink_ = &sink;
+  session_ = session;
+  SendFrame(frame_kind::kOpen, database_);
+  sink_->Watch();
+}
+
+void forwarded_stream::SendFrame(frame_kind kind, std::string bytes) {
+  if (sink_ != nullptr) {
+    session_frame frame;
+    frame.session = session_;
+    frame.kind = kind;
+    frame.bytes = std::move(bytes);
+    sink_->SendFrame(std::move(frame));
+  }
+}
+
+void forwarded_stream::Send(std::string_view bytes) {
+  if (listener_ == nullptr || sink_ == nullptr) {
+    return;
+  }
+  received_ += bytes.size();
+  unanswered_ += bytes;
+  SendFrame(frame_kind::kData, std::string(bytes));
+  sink_->Watch();
+}
+
+void forwarded_stream::Leave() {
+  SendFrame(frame_kind::kGone, "");
+  Release();
+}
+
+void forwarded_stream::AbandonTransaction() {
+  SendFrame(frame_kind::kAbandon, "");
+}
+
+void forwarded_stream::OnFrame(const session_frame& frame) {
+  heard_ = true;
+  in_transaction_ = frame.in_transaction;
+  const std::uint64_t answered_before = received_ - unanswered_.size();
+  if (frame.settled > answered_before) {
+    unanswered_.erase(0, frame.settled - answered_before);
+  }
+  if (!frame.bytes.empty() && listener_ != nullptr) {
+    listener_->OnForwardedBytes(frame.bytes);
+  }
+  if (frame.kind == frame_kind::kClosed) {
+    End();
+  }
+}
+
+forwarded_listener* forwarded_stream::Release() {
+  if (frame_sink* sink = std::exchange(sink_, nullptr)) {
+    sink->Remove(session_);
+  }
+  return std::exchange(listener_, nullptr);
+}
+
+void forwarded_stream::End() {
+  if (forwarded_listener* listener = Release()) {
+    listener->OnForwardedEnd();
+  }
+}
+
+void forwarded_stream::ServeHere() {
+  if (forwarded_listener* listener = Release()) {
+    listener->OnServeHere();
+  }
+}
+
+}  // namespace plantaintiller::forwarding
--- /dev/null
+++ b/plantaintiller/forwarding/frame_codec.cpp
@@ -0,0 +1,134 @@
+#include "plantaintiller/forwarding/frame_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <array>
+#include <cstring>
+
+#include "plantaintiller/instances/forwarding.capnp.h"
+
+namespace plantaintiller::forwarding {
+
+namespace {
+
+namespace wire = instances::wire;
+
+/// Space of a usual batch on the stack, in words.
+constexpr std::size_t kScratchWords = 512;
+
+wire::SessionFrame::Kind ToWire(frame_kind kind) {
+  switch (kind) {
+    case frame_kind::kOpen:
+      return wire::SessionFrame::Kind::OPEN;
+    case frame_kind::kData:
+      return wire::SessionFrame::Kind::DATA;
+    case frame_kind::kGone:
+      return wire::SessionFrame::Kind::GONE;
+    case frame_kind::kAbandon:
+      return wire::SessionFrame::Kind::ABANDON;
+    case frame_kind::kClosed:
+      return wire::SessionFrame::Kind::CLOSED;
+    case frame_kind::kRefused:
+      return wire::SessionFrame::Kind::REFUSED;
+  }
+  return wire::SessionFrame::Kind::CLOSED;
+}
+
+std::optional<frame_kind> FromWire(wire::SessionFrame::Kind kind) {
+  switch (kind) {
+    case wire::SessionFrame::Kind::OPEN:
+      return frame_kind::kOpen;
+    case wire::SessionFrame::Kind::DATA:
+      return frame_kind::kData;
+    case wire::SessionFrame::Kind::GONE:
+      return frame_kind::kGone;
+    case wire::SessionFrame::Kind::ABANDON:
+      return frame_kind::kAbandon;
+    case wire::SessionFrame::Kind::CLOSED:
+      return frame_kind::kClosed;
+    case wire::SessionFrame::Kind::REFUSED:
+      return frame_kind::kRefused;
+  }
+  // A kind of a later version.
+  return std::nullopt;
+}
+
+bool Decode(wire::FrameBatch::Reader from, frame_batch& batch) {
+  batch = {};
+  batch.configuration_version = from.getConfigurationVersion();
+  batch.ping = from.getPing();
+  batch.frames.reserve(from.getFrames().size());
+  for (const auto each : from.getFrames()) {
+    const std::optional<frame_kind> kind = FromWire(each.getKind());
+    if (!kind.has_value()) {
+      return false;
+    }
+    session_frame& frame = batch.frames.emplace_back();
+    frame.session = each.getSession();
+    frame.kind = *kind;
+    const auto bytes = each.getBytes();
+    frame.bytes.assign(reinterpret_cast<const char*>(bytes.begin()),
+                       bytes.size());
+    frame.settled = each.getSettled();
+    frame.in_transaction = each.getInTransaction();
+  }
+  return true;
+}
+
+}  // namespace
+
+void AppendBatch(std::string& out, const frame_batch& batch) {
+  std::array<capnp::word, kScratchWords> scratch{};
+  capnp::MallocMessageBuilder message(
+      kj::ArrayPtr<capnp::word>(scratch.data(), scratch.size()));
+  auto to = message.initRoot<wire::FrameBatch>();
+  to.setConfigurationVersion(batch.configuration_version);
+  to.setPing(batch.ping);
+  auto frames = to.initFrames(static_cast<unsigned>(batch.frames.size()));
+  for (unsigned n = 0; n < frames.size(); ++n) {
+    const session_frame& each = batch.frames[n];
+    frames[n].setSession(each.session);
+    frames[n].setKind(ToWire(each.kind));
+    frames[n].setBytes(kj::ArrayPtr<const kj::byte>(
+        reinterpret_cast<const kj::byte*>(each.bytes.data()),
+        each.bytes.size()));
+    frames[n].setSettled(each.settled);
+    frames[n].setInTransaction(each.in_transaction);
+  }
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  const auto size = static_cast<std::uint32_t>(bytes.size());
+  std::array<char, sizeof(size)> length{};
+  std::memcpy(length.data(), &size, sizeof(size));
+  out.append(length.data(), length.size());
+  out.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+}
+
+batch_state TakeBatch(std::string& buffer, frame_batch& batch) {
+  std::uint32_t size = 0;
+  if (buffer.size() < sizeof(size)) {
+    return batch_state::kIncomplete;
+  }
+  std::memcpy(&size, buffer.data(), sizeof(size));
+  if (size > kMaxBatch || size % sizeof(capnp::word) != 0) {
+    return batch_state::kGarbled;
+  }
+  if (buffer.size() < sizeof(size) + size) {
+    return batch_state::kIncomplete;
+  }
+  // Copied to where words may be read.
+  auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
+  std::memcpy(words.begin(), buffer.data() + sizeof(size), size);
+  buffer.erase(0, sizeof(size) + size);
+  try {
+    capnp::FlatArrayMessageReader reader(words);
+    return Decode(reader.getRoot<wire::FrameBatch>(), batch)
+               ? batch_state::kComplete
+               : batch_state::kGarbled;
+  } catch (const kj::Exception&) {
+    return batch_state::kGarbled;
+  }
+}
+
+}  // namespace plantaintiller::forwarding
--- /dev/null
+++ b/plantaintiller/forwarding/frame_link.cpp
@@ -0,0 +1,176 @@
+#include "plantaintiller/forwarding/frame_link.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "plantaintiller/forwarding/frame_codec.h"
+#include "plantaintiller/gateway/socket_options.h"
+
+namespace plantaintiller::forwarding {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+/// Longest time to connect: several round trips within a zone, and a slow
+/// machine's delay. A lost packet is sent again only after a second, and the
+/// stand-in is near.
+constexpr core::milliseconds kConnectLimit{300};
+/// Bytes that the other end leaves unread before it counts as gone.
+constexpr std::size_t kMaxUnread = kMaxBatch;
+
+}  // namespace
+
+frame_link::frame_link(tcp::socket socket, frame_link_listener& listener)
+    : socket_(std::move(socket)),
+      connect_timer_(socket_.get_executor()),
+      writer_(socket_),
+      listener_(&listener),
+      last_heard_(core::clock::now()) {
+  writer_.SetHandlers([this] { End(); }, [] {});
+}
+
+std::shared_ptr<frame_link> frame_link::Connect(asio::io_context& context,
+                                                const tcp::endpoint& to,
+                                                frame_link_listener& listener) {
+  auto link = std::make_shared<frame_link>(tcp::socket(context), listener);
+  link->remote_host_ = to.address().to_string();
+  link->connect_timer_.expires_after(kConnectLimit);
+  link->connect_timer_.async_wait([link](error_code cancelled) {
+    if (!cancelled && !link->open_) {
+      link->End();
+    }
+  });
+  link->socket_.async_connect(to, [link](error_code failed) {
+    if (failed) {
+      link->End();
+      return;
+    }
+    if (link->listener_ != nullptr) {
+      link->connect_timer_.cancel();
+      link->Open();
+    }
+  });
+  return link;
+}
+
+std::shared_ptr<frame_link> frame_link::Accepted(
+    tcp::socket socket,
+    frame_link_listener& listener) {
+  auto link = std::make_shared<frame_link>(std::move(socket), listener);
+  error_code error;
+  const auto from = link->socket_.remote_endpoint(error);
+  if (!error) {
+    link->remote_host_ = from.address().to_string();
+  }
+  link->Open();
+  return link;
+}
+
+void frame_link::Open() {
+  open_ = true;
+  last_heard_ = core::clock::now();
+  gateway::SetLatencyOptions(socket_);
+  Read();
+  if (!gathered_.frames.empty() || gathered_.ping) {
+    Flush();
+  }
+}
+
+void frame_link::Send(session_frame frame) {
+  if (listener_ == nullptr) {
+    return;
+  }
+  gathered_.frames.push_back(std::move(frame));
+  Gather();
+}
+
+void frame_link::Ping() {
+  gathered_.ping = true;
+  Gather();
+}
+
+void frame_link::Gather() {
+  if (gathering_ || !open_ || listener_ == nullptr) {
+    return;
+  }
+  gathering_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->gathering_ = false;
+    self->Flush();
+  });
+}
+
+void frame_link::Flush() {
+  if (listener_ == nullptr) {
+    return;
+  }
+  gathered_.configuration_version = listener_->ConfigurationVersion();
+  std::string out;
+  AppendBatch(out, gathered_);
+  gathered_ = {};
+  writer_.Send(out, shared_from_this());
+  if (writer_.Pending() > kMaxUnread) {
+    End();
+  }
+}
+
+void frame_link::Read() {
+  socket_.async_read_some(
+      asio::buffer(chunk_),
+      [self = shared_from_this()](error_code failed, std::size_t size) {
+        if (self->listener_ == nullptr) {
+          return;
+        }
+        if (failed) {
+          self->End();
+          return;
+        }
+        self->last_heard_ = core::clock::now();
+        self->input_.append(self->chunk_.data(), size);
+        self->OnBytes();
+        if (self->listener_ != nullptr) {
+          self->Read();
+        }
+      });
+}
+
+void frame_link::OnBytes() {
+  frame_batch batch;
+  while (listener_ != nullptr) {
+    const batch_state state = TakeBatch(input_, batch);
+    if (state == batch_state::kIncomplete) {
+      return;
+    }
+    if (state == batch_state::kGarbled) {
+      End();
+      return;
+    }
+    if (batch.ping) {
+      // An empty batch is the sign of life.
+      Gather();
+    }
+    listener_->OnBatch(*this, std::move(batch));
+  }
+}
+
+void frame_link::Close() {
+  listener_ = nullptr;
+  open_ = false;
+  connect_timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void frame_link::End() {
+  const auto self = shared_from_this();
+  frame_link_listener* listener = listener_;
+  Close();
+  if (listener != nullptr) {
+    listener->OnLinkLost(*this);
+  }
+}
+
+}  // namespace plantaintiller::forwarding
--- a/plantaintiller/gateway/caller_connection.cpp
+++ b/plantaintiller/gateway/caller_connection.cpp
@@ -1,11 +1,13 @@
 #include "plantaintiller/gateway/caller_connection.h"
 
 #include <array>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
+#include <optional>
 #include <utility>
 
+#include "plantaintiller/gateway/caller_session.h"
+#include "plantaintiller/gateway/lost_home.h"
 #include "plantaintiller/gateway/socket_options.h"
+#include "plantaintiller/gateway/stream_writer.h"
 
 namespace plantaintiller::gateway {
 
@@ -18,94 +20,78 @@
 constexpr std::size_t kReadSize = 4096;
 
 class caller_implementation final : public caller_connection,
-                                    public sessions::session_host,
-                                    public connection_taker {
+                                    public sessions::session_channel,
+                                    public forwarding::forwarded_listener {
  public:
-  caller_implementation(tcp::socket socket, caller_environment& environment)
-      : socket_(std::move(socket)),
-        timer_(socket_.get_executor()),
-        environment_(environment),
-        engine_(*this, environment.SessionSettings()) {}
+  caller_implementation(asio::io_context& context,
+                        tcp::socket socket,
+                        caller_environment& environment)
+      : context_(context),
+        socket_(std::move(socket)),
+        writer_(socket_),
+        environment_(environment) {
+    writer_.SetHandlers([this] { End(); }, [this] { OnDrained(); });
+  }
 
   void Read();
 
   // caller_connection
   void CloseWhenIdle() override;
-  void AbandonTransaction(const char* reason) override {
-    engine_.AbandonTransaction(reason);
-  }
-  void CloseNow() override { End(); }
-  bool IsBusy() const override {
-    return !engine_.IsIdle() || engine_.InTransaction();
-  }
+  void AbandonTransaction(const char* reason) override;
 
-  // session_host
-  core::time_point Now() const override { return core::clock::now(); }
-  const core::route_table& Routes() const override {
-    return environment_.Routes();
-  }
-  replication::group_state* Group(const std::string& name) override {
-    return environment_.Group(name);
-  }
-  sessions::caller_codec& Callers() override { return environment_.Callers(); }
-  sessions::server_codec& Servers() override { return environment_.Servers(); }
-  void Acquire(const sessions::connection_need& need) override;
-  void CancelAcquire() override;
-  void Reply(const std::string& bytes) override;
-  void Close() override;
-  void SetTimer(core::time_point when) override;
-  void ClearTimer() override;
-  void OnNotLeader(const std::string& group,
-                   const std::string& server) override {
-    environment_.OnNotLeader(group, server);
-  }
-  void OnServerTrouble(const std::string& group,
-                       const std::string& server) override {
-    environment_.OnStatementTrouble(group, server);
-  }
-  void Note(const sessions::request_note& note) override;
-  void Count(const core::route* route,
-             bool at_leader,
-             core::duration took,
-             const char* failure) override {
-    environment_.Metrics().OnAnswer(route, at_leader, took, failure);
+  // sessions::session_channel
+  void Send(const std::string& bytes) override {
+    if (!ended_) {
+      writer_.Send(bytes, shared_from_this());
+      ReadAgain();
+    }
   }
+  void Finish() override;
 
-  // connection_taker
-  sessions::reply_listener& Listener() override { return engine_; }
-  void OnConnection(sessions::server_connection& connection) override {
-    pool_ = nullptr;
-    engine_.OnConnection(connection);
-    Proceed();
-  }
+  // forwarding::forwarded_listener
+  void OnForwardedBytes(const std::string& bytes) override;
+  void OnForwardedEnd() override;
+  void OnServeHere() override;
 
  private:
   std::shared_ptr<caller_implementation> Self() {
     return std::static_pointer_cast<caller_implementation>(shared_from_this());
   }
-  void Proceed();
-  void Write();
+  void ReadAgain();
+  void OnBytes();
+  void OnFirstMessage();
+  void ServeHere();
+  bool IsFull() const;
+  void OnDrained();
   void End();
 
+  asio::io_context& context_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  stream_writer writer_;
   caller_environment& environment_;
-  sessions::session_engine engine_;
-  connection_pool* pool_ = nullptr;
+  /// One of them is set once the first message is known.
+  std::shared_ptr<caller_session> session_;
+  std::shared_ptr<forwarding::forwarded_session> forwarded_;
+  std::string database_;
   std::array<char, kReadSize> chunk_{};
+  /// Bytes before the end of the first message.
   std::string input_;
-  std::string output_;
-  std::string writing_;
-  bool proceeding_ = false;
   bool reading_ = false;
   bool closing_ = false;
   bool leaving_ = false;
   bool ended_ = false;
 };
 
+bool caller_implementation::IsFull() const {
+  if (forwarded_ != nullptr) {
+    return forwarded_->Unanswered().size() > sessions::kMaxMessage;
+  }
+  return session_ != nullptr && session_->IsFull();
+}
+
 void caller_implementation::Read() {
   // A caller that sends more than is served is made to wait.
-  if (reading_ || ended_ || input_.size() > sessions::kMaxMessage + kReadSize) {
+  if (reading_ || ended_ || IsFull()) {
     return;
   }
   reading_ = true;
@@ -117,138 +103,132 @@
                               return;
                             }
                             self->input_.append(self->chunk_.data(), size);
-                            self->Proceed();
+                            self->OnBytes();
                             self->Read();
                           });
 }
 
-void caller_implementation::Proceed() {
-  if (proceeding_) {
-    return;
+void caller_implementation::ReadAgain() {
+  if (!reading_ && !ended_) {
+    asio::post(context_, [self = Self()] { self->Read(); });
   }
-  proceeding_ = true;
-  while (!ended_ && !closing_ && engine_.IsIdle()) {
-    std::optional<sessions::caller_message> message =
-        environment_.Callers().Take(input_);
-    if (!message.has_value()) {
-      break;
-    }
-    engine_.OnMessage(*message);
-  }
-  proceeding_ = false;
-  if (leaving_ && !IsBusy() && input_.empty()) {
-    Close();
-  }
-  Read();
 }
 
-void caller_implementation::Acquire(const sessions::connection_need& need) {
-  pool_ = environment_.Pool(need.group);
-  if (pool_ != nullptr) {
-    pool_->Acquire(need, *this);
+void caller_implementation::OnBytes() {
+  if (closing_) {
+    input_.clear();
+    return;
   }
-}
-
-void caller_implementation::CancelAcquire() {
-  if (pool_ != nullptr) {
-    pool_->Cancel(*this);
-    pool_ = nullptr;
+  if (session_ == nullptr && forwarded_ == nullptr) {
+    OnFirstMessage();
   }
-}
-
-void caller_implementation::Reply(const std::string& bytes) {
-  output_ += bytes;
-  Write();
-  if (!proceeding_) {
-    // The answer may let the next request start, or a leaving caller go.
-    asio::post(socket_.get_executor(), [self = Self()] { self->Proceed(); });
+  if (input_.empty()) {
+    return;
+  }
+  if (forwarded_ != nullptr) {
+    forwarded_->Send(std::exchange(input_, {}));
+  } else if (session_ != nullptr) {
+    session_->OnBytes(std::exchange(input_, {}));
   }
 }
 
-void caller_implementation::Write() {
-  if (ended_ || !writing_.empty() || output_.empty()) {
+void caller_implementation::OnFirstMessage() {
+  std::string rest = input_;
+  const std::optional<sessions::caller_message> message =
+      environment_.Callers().Take(rest);
+  if (!message.has_value()) {
     return;
   }
-  error_code error;
-  if (!socket_.non_blocking()) {
-    socket_.non_blocking(true, error);
+  using kind = sessions::caller_message::message_kind;
+  const core::route* route = message->kind == kind::kStart
+                                 ? environment_.Routes().Find(message->database)
+                                 : nullptr;
+  if (route != nullptr) {
+    database_ = message->database;
+    forwarded_ = environment_.Forwarder().Open(route->group, database_, *this);
   }
-  const std::size_t sent = socket_.write_some(asio::buffer(output_), error);
-  if (!error) {
-    output_.erase(0, sent);
-  } else if (error != asio::error::would_block) {
-    output_.clear();
-    asio::post(socket_.get_executor(), [self = Self()] { self->End(); });
+  if (forwarded_ != nullptr) {
+    input_ = std::move(rest);
     return;
   }
-  if (output_.empty()) {
-    if (closing_) {
-      error_code ignored;
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    }
-    return;
+  ServeHere();
+}
+
+void caller_implementation::ServeHere() {
+  session_ = std::make_shared<caller_session>(context_, environment_, *this);
+}
+
+void caller_implementation::OnServeHere() {
+  forwarded_.reset();
+  ServeHere();
+  session_->Start(database_);
+  if (leaving_) {
+    session_->CloseWhenIdle();
   }
-  writing_.swap(output_);
-  asio::async_write(socket_, asio::buffer(writing_),
-                    [self = Self()](error_code failed, std::size_t) {
-                      self->writing_.clear();
-                      if (failed) {
-                        self->End();
-                        return;
-                      }
-                      self->Write();
-                      if (self->closing_ && self->output_.empty()) {
-                        error_code ignored;
-                        self->socket_.shutdown(tcp::socket::shutdown_send,
-                                               ignored);
-                      }
-                    });
 }
 
-void caller_implementation::Close() {
-  if (closing_ || ended_) {
-    return;
+void caller_implementation::OnForwardedBytes(const std::string& bytes) {
+  Send(bytes);
+  if (leaving_) {
+    CloseWhenIdle();
   }
-  closing_ = true;
-  if (output_.empty() && writing_.empty()) {
-    error_code ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void caller_implementation::OnForwardedEnd() {
+  const lost_home lost(environment_.Callers(), forwarded_->Unanswered(),
+                       forwarded_->InTransaction());
+  if (!lost.Answer().empty()) {
+    log_line(environment_.Log(), "router", "refuse")
+        .With("request", lost.Request())
+        .With("database", database_)
+        .With("detail",
+              std::string(sessions::FailureName(lost.Code())) + " home_lost");
+    environment_.Metrics().OnAnswer(nullptr, false, core::duration(0),
+                                    sessions::FailureName(lost.Code()));
+    Send(lost.Answer());
   }
+  forwarded_.reset();
+  Finish();
 }
 
 void caller_implementation::CloseWhenIdle() {
   leaving_ = true;
-  if (!IsBusy() && input_.empty()) {
-    Close();
+  if (session_ != nullptr) {
+    session_->CloseWhenIdle();
+    return;
+  }
+  const bool busy =
+      !input_.empty() ||
+      (forwarded_ != nullptr &&
+       (forwarded_->InTransaction() || !forwarded_->Unanswered().empty()));
+  if (!busy) {
+    Finish();
   }
 }
 
-void caller_implementation::SetTimer(core::time_point when) {
-  timer_.expires_at(when);
-  timer_.async_wait([self = Self()](error_code cancelled) {
-    if (!cancelled && !self->ended_ &&
-        self->timer_.expiry() <= core::clock::now()) {
-      self->engine_.OnTimer();
-      self->Proceed();
-    }
-  });
+void caller_implementation::AbandonTransaction(const char* reason) {
+  if (session_ != nullptr) {
+    session_->AbandonTransaction(reason);
+  } else if (forwarded_ != nullptr) {
+    forwarded_->AbandonTransaction();
+  }
 }
 
-void caller_implementation::ClearTimer() {
-  timer_.cancel();
+void caller_implementation::Finish() {
+  if (closing_ || ended_) {
+    return;
+  }
+  closing_ = true;
+  if (writer_.Pending() == 0) {
+    OnDrained();
+  }
 }
 
-void caller_implementation::Note(const sessions::request_note& note) {
-  log_line(environment_.Log(), "router", note.event)
-      .With("request", note.request)
-      .With("database", note.database)
-      .With("group", note.group)
-      .With("server", note.server)
-      .With("detail", note.detail)
-      .With("config", static_cast<std::int64_t>(note.version))
-      .With("age_us",
-            std::chrono::duration_cast<std::chrono::microseconds>(note.age)
-                .count());
+void caller_implementation::OnDrained() {
+  if (closing_ && !ended_) {
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
 }
 
 void caller_implementation::End() {
@@ -257,9 +237,12 @@
   }
   ended_ = true;
   const auto self = Self();
-  CancelAcquire();
-  engine_.OnCallerGone();
-  timer_.cancel();
+  if (session_ != nullptr) {
+    session_->OnCallerGone();
+  }
+  if (forwarded_ != nullptr) {
+    forwarded_->Leave();
+  }
   error_code ignored;
   socket_.close(ignored);
   environment_.OnCallerClosed(*this);
@@ -268,11 +251,12 @@
 }  // namespace
 
 std::shared_ptr<caller_connection> caller_connection::Start(
+    asio::io_context& context,
     tcp::socket socket,
     caller_environment& environment) {
   SetLatencyOptions(socket);
-  auto made =
-      std::make_shared<caller_implementation>(std::move(socket), environment);
+  auto made = std::make_shared<caller_implementation>(
+      context, std::move(socket), environment);
   made->Read();
   return made;
 }
--- a/plantaintiller/gateway/caller_connection.h
+++ b/plantaintiller/gateway/caller_connection.h
@@ -1,45 +1,21 @@
 #pragma once
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 
-#include "plantaintiller/core/route.h"
-#include "plantaintiller/gateway/connection_pool.h"
-#include "plantaintiller/gateway/event_log.h"
-#include "plantaintiller/gateway/statement_metrics.h"
-#include "plantaintiller/sessions/session_engine.h"
+#include "plantaintiller/gateway/caller_environment.h"
 
 namespace plantaintiller::gateway {
 
-class caller_connection;
-
-/// What callers' connections share.
-class caller_environment {
- public:
-  virtual ~caller_environment() = default;
-  virtual const core::route_table& Routes() const = 0;
-  virtual replication::group_state* Group(const std::string& name) = 0;
-  /// Connections of a group. @return null if none of its servers is known.
-  virtual connection_pool* Pool(const std::string& name) = 0;
-  virtual sessions::caller_codec& Callers() = 0;
-  virtual sessions::server_codec& Servers() = 0;
-  virtual const sessions::session_settings& SessionSettings() const = 0;
-  virtual event_log& Log() = 0;
-  virtual statement_metrics& Metrics() = 0;
-  virtual void OnNotLeader(const std::string& group,
-                           const std::string& server) = 0;
-  virtual void OnStatementTrouble(const std::string& group,
-                                  const std::string& server) = 0;
-  /// The connection ended and is about to be freed.
-  virtual void OnCallerClosed(caller_connection& caller) = 0;
-};
-
-/// One caller's connection with its session.
+/// One caller's connection. Its first message decides whether its session is
+/// served here or forwarded to the home of the database group.
 class caller_connection
     : public std::enable_shared_from_this<caller_connection> {
  public:
   /// @param environment must outlive the connection.
   static std::shared_ptr<caller_connection> Start(
+      boost::asio::io_context& context,
       boost::asio::ip::tcp::socket socket,
       caller_environment& environment);
   virtual ~caller_connection() = default;
@@ -48,10 +24,6 @@
   virtual void CloseWhenIdle() = 0;
   /// Ends an open transaction; its next statement is refused.
   virtual void AbandonTransaction(const char* reason) = 0;
-  /// Closes the connection at once.
-  virtual void CloseNow() = 0;
-  /// Whether a request is in progress.
-  virtual bool IsBusy() const = 0;
 };
 
 }  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/caller_environment.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "plantaintiller/core/route.h"
+#include "plantaintiller/forwarding/session_forwarder.h"
+#include "plantaintiller/gateway/connection_pool.h"
+#include "plantaintiller/gateway/event_log.h"
+#include "plantaintiller/gateway/statement_metrics.h"
+#include "plantaintiller/sessions/session_engine.h"
+
+namespace plantaintiller::gateway {
+
+class caller_connection;
+
+/// What callers' connections and sessions share.
+class caller_environment {
+ public:
+  virtual ~caller_environment() = default;
+  virtual const core::route_table& Routes() const = 0;
+  virtual replication::group_state* Group(const std::string& name) = 0;
+  /// Connections of a group. @return null if none of its servers is known.
+  virtual connection_pool* Pool(const std::string& name) = 0;
+  virtual sessions::caller_codec& Callers() = 0;
+  virtual sessions::server_codec& Servers() = 0;
+  virtual const sessions::session_settings& SessionSettings() const = 0;
+  virtual forwarding::session_forwarder& Forwarder() = 0;
+  virtual event_log& Log() = 0;
+  virtual statement_metrics& Metrics() = 0;
+  virtual void OnNotLeader(const std::string& group,
+                           const std::string& server) = 0;
+  virtual void OnStatementTrouble(const std::string& group,
+                                  const std::string& server) = 0;
+  /// The connection ended and is about to be freed.
+  virtual void OnCallerClosed(caller_connection& caller) = 0;
+};
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/caller_session.cpp
@@ -0,0 +1,136 @@
+#include "plantaintiller/gateway/caller_session.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace plantaintiller::gateway {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+caller_session::caller_session(asio::io_context& context,
+                               caller_environment& environment,
+                               sessions::session_channel& channel)
+    : context_(context),
+      timer_(context),
+      environment_(environment),
+      channel_(&channel),
+      engine_(*this, environment.SessionSettings()) {}
+
+void caller_session::Start(const std::string& database) {
+  sessions::caller_message message;
+  message.kind = sessions::caller_message::message_kind::kStart;
+  message.database = database;
+  engine_.OnMessage(message);
+}
+
+void caller_session::OnBytes(std::string_view bytes) {
+  input_ += bytes;
+  Proceed();
+}
+
+void caller_session::Proceed() {
+  if (proceeding_) {
+    return;
+  }
+  proceeding_ = true;
+  while (channel_ != nullptr && !closing_ && engine_.IsIdle()) {
+    std::optional<sessions::caller_message> message =
+        environment_.Callers().Take(input_);
+    if (!message.has_value()) {
+      break;
+    }
+    engine_.OnMessage(*message);
+  }
+  proceeding_ = false;
+  if (leaving_ && !IsBusy()) {
+    Close();
+  }
+}
+
+void caller_session::CloseWhenIdle() {
+  leaving_ = true;
+  if (!IsBusy()) {
+    Close();
+  }
+}
+
+void caller_session::Acquire(const sessions::connection_need& need) {
+  pool_ = environment_.Pool(need.group);
+  if (pool_ != nullptr) {
+    pool_->Acquire(need, *this);
+  }
+}
+
+void caller_session::CancelAcquire() {
+  if (pool_ != nullptr) {
+    pool_->Cancel(*this);
+    pool_ = nullptr;
+  }
+}
+
+void caller_session::OnConnection(sessions::server_connection& connection) {
+  const auto self = shared_from_this();
+  pool_ = nullptr;
+  engine_.OnConnection(connection);
+  Proceed();
+}
+
+void caller_session::Reply(const std::string& bytes) {
+  if (channel_ == nullptr) {
+    return;
+  }
+  channel_->Send(bytes);
+  if (!proceeding_) {
+    // The answer may let the next request start, or a leaving caller go.
+    asio::post(context_, [self = shared_from_this()] { self->Proceed(); });
+  }
+}
+
+void caller_session::Close() {
+  if (closing_ || channel_ == nullptr) {
+    return;
+  }
+  closing_ = true;
+  channel_->Finish();
+}
+
+void caller_session::SetTimer(core::time_point when) {
+  timer_.expires_at(when);
+  timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+    if (!cancelled && self->channel_ != nullptr &&
+        self->timer_.expiry() <= core::clock::now()) {
+      self->engine_.OnTimer();
+      self->Proceed();
+    }
+  });
+}
+
+void caller_session::ClearTimer() {
+  timer_.cancel();
+}
+
+void caller_session::Note(const sessions::request_note& note) {
+  log_line(environment_.Log(), "router", note.event)
+      .With("request", note.request)
+      .With("database", note.database)
+      .With("group", note.group)
+      .With("server", note.server)
+      .With("detail", note.detail)
+      .With("config", static_cast<std::int64_t>(note.version))
+      .With("age_us",
+            std::chrono::duration_cast<std::chrono::microseconds>(note.age)
+                .count());
+}
+
+void caller_session::OnCallerGone() {
+  if (channel_ == nullptr) {
+    return;
+  }
+  channel_ = nullptr;
+  CancelAcquire();
+  engine_.OnCallerGone();
+  timer_.cancel();
+}
+
+}  // namespace plantaintiller::gateway
--- /dev/null
+++ b/plantaintiller/gateway/caller_session.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+
+#include "plantaintiller/gateway/caller_environment.h"
+#include "plantaintiller/sessions/hosted_session.h"
+#include "plantaintiller/sessions/session_host.h"
+
+namespace plantaintiller::gateway {
+
+/// A caller's session that this instance serves, whichever instance the caller
+/// is connected to: its engine, with timers and connections to servers.
+class caller_session : public sessions::hosted_session,
+                       public sessions::session_host,
+                       public connection_taker,
+                       public std::enable_shared_from_this<caller_session> {
+ public:
+  /// @param environment must outlive the session; @param channel as well, or
+  /// until `OnCallerGone`.
+  caller_session(boost::asio::io_context& context,
+                 caller_environment& environment,
+                 sessions::session_channel& channel);
+
+  // sessions::hosted_session
+  void Start(const std::string& database) override;
+  void OnBytes(std::string_view bytes) override;
+  void OnCallerGone() override;
+  void AbandonTransaction(const char* reason) override {
+    engine_.AbandonTransaction(reason);
+  }
+  void CloseWhenIdle() override;
+  bool IsSettled() const override { return engine_.IsIdle() && input_.empty(); }
+  bool InTransaction() const override { return engine_.InTransaction(); }
+  bool IsFull() const override { return input_.size() > sessions::kMaxMessage; }
+
+  // sessions::session_host
+  core::time_point Now() const override { return core::clock::now(); }
+  const core::route_table& Routes() const override {
+    return environment_.Routes();
+  }
+  replication::group_state* Group(const std::string& name) override {
+    return environment_.Group(name);
+  }
+  sessions::caller_codec& Callers() override { return environment_.Callers(); }
+  sessions::server_codec& Servers() override { return environment_.Servers(); }
+  void Acquire(const sessions::connection_need& need) override;
+  void CancelAcquire() override;
+  void Reply(const std::string& bytes) override;
+  void Close() override;
+  void SetTimer(core::time_point when) override;
+  void ClearTimer() override;
+  void OnNotLeader(const std::string& group,
+                   const std::string& server) override {
+    environment_.OnNotLeader(group, server);
+  }
+  void OnServerTrouble(const std::string& group,
+                       const std::string& server) override {
+    environment_.OnStatementTrouble(group, server);
+  }
+  void Note(const sessions::request_note& note) override;
+  void Count(const core::route* route,
+             bool at_leader,
+             core::duration took,
+             const char* failure) override {
+    environment_.Metrics().OnAnswer(route, at_leader, took, failure);
+  }
+
+  // connection_taker
+  sessions::reply_listener& Listener() override { return engine_; }
+  void OnConnection(sessions::server_connection& connection) override;
+
+ private:
+  void Proceed();
+  bool IsBusy() const { return !IsSettled() || InTransaction(); }
+
+  boost::asio::io_context& context_;
+  boost::asio::steady_timer timer_;
+  caller_environment& environment_;
+  /// Null once the caller is gone.
+  sessions::session_channel* channel_;
+  sessions::session_engine engine_;
+  connection_pool* pool_ = nullptr;
+  std::string input_;
+  bool proceeding_ = false;
+  bool closing_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace plantaintiller::gateway
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -13,7 +14,10 @@
 #include <utility>
 #include <vector>
 
+#include "plantaintiller/forwarding/guest_service.h"
+#include "plantaintiller/forwarding/session_forwarder.h"
 #include "plantaintiller/gateway/caller_connection.h"
+#include "plantaintiller/gateway/caller_session.h"
 #include "plantaintiller/gateway/connection_pool.h"
 #include "plantaintiller/gateway/event_log.h"
 #include "plantaintiller/gateway/instance_registry.h"
@@ -64,6 +68,8 @@
                                 public store_watch_listener,
                                 public peer_listener,
                                 public leader_keeper_listener,
+                                public forwarding::forwarder_host,
+                                public forwarding::guest_host,
                                 public http::handler {
  public:
   implementation(asio::io_context& context,
@@ -85,6 +91,8 @@
                *this),
         exchange_(context, settings, log_, *this),
         registry_(context, settings, peers.rows, exchange_),
+        forwarder_(context, ForwarderSettings(settings), *this, log_),
+        guests_(context, *this, log_),
         keeper_(
             context,
             settings,
@@ -108,6 +116,7 @@
   const sessions::session_settings& SessionSettings() const override {
     return settings_.session;
   }
+  forwarding::session_forwarder& Forwarder() override { return forwarder_; }
   event_log& Log() override { return log_; }
   statement_metrics& Metrics() override { return metrics_; }
   void OnNotLeader(const std::string& group,
@@ -143,10 +152,38 @@
   // leader_keeper_listener
   void OnLeaderChange(const std::string& group) override;
 
+  // forwarding::forwarder_host and forwarding::guest_host
+  std::vector<forwarding::home_candidate> HomeCandidates() const override {
+    return exchange_.ZoneMembers();
+  }
+  bool TakesGuests() const override { return IsReady(); }
+  std::shared_ptr<sessions::hosted_session> MakeGuest(
+      sessions::session_channel& channel) override {
+    return std::make_shared<caller_session>(context_, *this, channel);
+  }
+  void OnGuestEnded() override {
+    if (leaving_) {
+      asio::post(context_, [this] { FinishIfEmpty(); });
+    }
+  }
+  std::uint64_t ConfigurationVersion() const override {
+    return routes_.version;
+  }
+  void OnNewerConfiguration(const std::string& host) override {
+    exchange_.Pull(host);
+  }
+
   // http::handler
   void Handle(const http::request& asked, http::responder respond) override;
 
  private:
+  static forwarding::forwarder_settings ForwarderSettings(
+      const gateway_settings& settings) {
+    forwarding::forwarder_settings made;
+    made.instance = settings.instance;
+    made.port = settings.forwarding_port;
+    return made;
+  }
   static http::server_settings ReadinessSettings(
       const gateway_settings& settings) {
     http::server_settings made;
@@ -176,6 +213,8 @@
   void Stop(int signal);
   void CloseIdleCallers();
   void FinishStop();
+  /// Ends the process early once it is leaving and serves nobody.
+  void FinishIfEmpty();
   template <class each_caller>
   void ForEachCaller(each_caller act);
 
@@ -203,6 +242,8 @@
   store_watch watch_;
   peer_exchange exchange_;
   instance_registry registry_;
+  forwarding::session_forwarder forwarder_;
+  forwarding::guest_service guests_;
   leader_keeper keeper_;
   std::unique_ptr<http::server> operators_;
   std::unique_ptr<http::server> metrics_server_;
@@ -222,6 +263,7 @@
     }
   });
   exchange_.Start();
+  guests_.Listen(settings_.peers.host, settings_.forwarding_port);
   watch_.Start();
   registry_.Start();
   context_.run();
@@ -266,7 +308,8 @@
       return;
     }
     if (!failed && callers_.size() < settings_.max_sockets / 2) {
-      const auto caller = caller_connection::Start(std::move(socket), *this);
+      const auto caller =
+          caller_connection::Start(context_, std::move(socket), *this);
       callers_.insert(caller);
       if (leaving_) {
         caller->CloseWhenIdle();
@@ -278,7 +321,11 @@
 
 void gateway::implementation::OnCallerClosed(caller_connection& caller) {
   callers_.erase(caller.shared_from_this());
-  if (leaving_ && callers_.empty()) {
+  FinishIfEmpty();
+}
+
+void gateway::implementation::FinishIfEmpty() {
+  if (leaving_ && callers_.empty() && guests_.Sessions() == 0) {
     FinishStop();
   }
 }
@@ -313,8 +360,9 @@
 void gateway::implementation::CloseIdleCallers() {
   leaving_ = true;
   ForEachCaller([](caller_connection& each) { each.CloseWhenIdle(); });
-  if (callers_.empty()) {
-    FinishStop();
+  guests_.CloseWhenIdle();
+  FinishIfEmpty();
+  if (context_.stopped()) {
     return;
   }
   const core::time_point started =
@@ -332,6 +380,7 @@
       each.AbandonTransaction("shutdown");
       each.CloseWhenIdle();
     });
+    guests_.AbandonTransactions("shutdown");
     stop_timer_.expires_at(started + std::chrono::duration_cast<core::duration>(
                                          grace * kLastCall));
     stop_timer_.async_wait([this](error_code stopped) {
@@ -348,6 +397,8 @@
   exchange_.Stop();
   registry_.Stop();
   keeper_.Stop();
+  forwarder_.Stop();
+  guests_.Stop();
   context_.stop();
 }
 
@@ -387,6 +438,7 @@
   routes_ = std::move(routes);
   routes_text_ = text;
   exchange_.Announce();
+  guests_.OnConfiguration();
   for (const auto& [name, group] : routes_.groups) {
     EnsureGroup(name).pool.SetLimit(group.max_connections);
   }
@@ -577,6 +629,8 @@
   http::response answer;
   if (target == "/metrics" || target == "/v1/metrics") {
     metrics_.Set("callers", callers_.size());
+    metrics_.Set("forwarded_sessions", forwarder_.Sessions());
+    metrics_.Set("guest_sessions", guests_.Sessions());
     metrics_.Set("configuration_version", routes_.version);
     metrics_.Set("live_peers", exchange_.LivePeers());
     metrics_.Set("log_lines_dropped", log_.Dropped());
--- a/plantaintiller/gateway/gateway_settings.h
+++ b/plantaintiller/gateway/gateway_settings.h
@@ -30,6 +30,14 @@
   std::uint16_t metrics_port = 9464;
   /// Port for heartbeats and transfers between instances, the same at all.
   endpoint peers;
+  /// Port for sessions that instances forward to each other, the same at all.
+  std::uint16_t forwarding_port = 0;
+  /// Processor share of this instance, in cores.
+  double capacity = 1.0;
+  /// With fewer other instances alive, everyone tells everyone its news, and
+  /// sessions are served where they arrive: a server then has two connections
+  /// or more for each instance, and news cost each some 16 datagrams.
+  std::size_t small_deployment = 16;
   /// Hosts of instances that may be alive.
   std::vector<std::string> seeds;
   endpoint store;
--- a/plantaintiller/gateway/instance_registry.cpp
+++ b/plantaintiller/gateway/instance_registry.cpp
@@ -1,5 +1,7 @@
 #include "plantaintiller/gateway/instance_registry.h"
 
+#include <sstream>
+
 namespace plantaintiller::gateway {
 
 namespace {
@@ -29,7 +31,8 @@
   store::row row;
   row.table = kTable;
   row.key = settings_.instance;
-  row.value = settings_.zone + " " + settings_.peers.host;
+  row.value = settings_.zone + " " + settings_.peers.host + " " +
+              std::to_string(CapacityUnits(settings_.capacity));
   store::row_transaction change;
   change.writes.push_back(std::move(row));
   rows_.Commit(change, [this](const store::rows_answer& answer) {
@@ -48,10 +51,12 @@
       return;
     }
     for (const store::row& each : answer.rows) {
-      const std::size_t blank = each.value.find(' ');
-      if (blank != std::string::npos) {
-        peers_.Introduce(each.key, each.value.substr(0, blank),
-                         each.value.substr(blank + 1));
+      instance_place place;
+      std::istringstream text(each.value);
+      if (text >> place.zone >> place.host) {
+        // Rows of earlier versions have no capacity.
+        text >> place.capacity_units;
+        peers_.Introduce(each.key, place);
       }
     }
     if (answer.truncated && !answer.rows.empty()) {
--- a/plantaintiller/gateway/peer_exchange.cpp
+++ b/plantaintiller/gateway/peer_exchange.cpp
@@ -53,8 +53,7 @@
 constexpr std::uint64_t kTraversalWords = kMaxState;
 
 struct member {
-  std::string zone;
-  std::string host;
+  instance_place place;
   /// When another instance, or the store, said last that it is alive.
   core::time_point vouched;
   core::time_point heard;
@@ -67,6 +66,10 @@
   }
 };
 
+double Cores(std::uint32_t units) {
+  return static_cast<double>(units) / 1000.0;
+}
+
 std::string Text(capnp::Text::Reader text) {
   return {text.begin(), text.size()};
 }
@@ -217,13 +220,13 @@
 
   void Start();
   void Stop();
-  void Introduce(const std::string& instance,
-                 const std::string& zone,
-                 const std::string& host);
+  void Introduce(const std::string& instance, const instance_place& place);
   void Announce();
   void AskForConnection(const std::string& group, const std::string& server);
   std::size_t LivePeers() const;
   bool IsRelay() const;
+  void Pull(const std::string& host);
+  std::vector<forwarding::home_candidate> ZoneMembers() const;
 
  private:
   void Receive();
@@ -231,7 +234,6 @@
   void OnHeartbeat(wire::Heartbeat::Reader beat);
   void Accept();
   void Serve(const std::shared_ptr<transfer>& with);
-  void Pull(const std::string& host);
   void ScheduleBeat();
   void SendToAll(bool trial);
   void SendTo(const std::string& host, const std::string& bytes);
@@ -286,19 +288,17 @@
 }
 
 void peer_exchange::implementation::Introduce(const std::string& instance,
-                                              const std::string& zone,
-                                              const std::string& host) {
+                                              const instance_place& place) {
   if (instance == settings_.instance || members_.size() >= kMaxMembers) {
     return;
   }
   const bool added = !members_.contains(instance);
   member& known = members_[instance];
-  const bool moved = known.host != host;
-  known.zone = zone;
-  known.host = host;
+  const bool moved = known.place.host != place.host;
+  known.place = place;
   known.vouched = core::clock::now();
   if (added || moved) {
-    SendTo(host, Encode());
+    SendTo(place.host, Encode());
   }
 }
 
@@ -333,7 +333,7 @@
   std::vector<relay_candidate> live;
   for (const auto& [name, each] : members_) {
     if (each.IsLive(now)) {
-      live.push_back({name, each.zone, each.host});
+      live.push_back({name, each.place.zone, each.place.host});
     }
   }
   return live;
@@ -345,7 +345,31 @@
 
 bool peer_exchange::implementation::IsRelay() const {
   return relay_choice::IsRelay(Self(), Live(core::clock::now()),
-                               kSmallDeployment);
+                               settings_.small_deployment);
+}
+
+std::vector<forwarding::home_candidate>
+peer_exchange::implementation::ZoneMembers() const {
+  const core::time_point now = core::clock::now();
+  std::vector<forwarding::home_candidate> zone;
+  std::size_t live = 0;
+  for (const auto& [name, each] : members_) {
+    if (!each.IsLive(now)) {
+      continue;
+    }
+    live += 1;
+    error_code unreadable;
+    asio::ip::make_address(each.place.host, unreadable);
+    if (each.place.zone == settings_.zone && !unreadable) {
+      zone.push_back({name, each.place.host, Cores(each.place.capacity_units)});
+    }
+  }
+  if (live < settings_.small_deployment) {
+    return {};
+  }
+  zone.push_back({settings_.instance, settings_.peers.host,
+                  Cores(CapacityUnits(settings_.capacity))});
+  return zone;
 }
 
 relay_candidate peer_exchange::implementation::Self() const {
@@ -357,14 +381,14 @@
   const std::string bytes = Encode();
   const std::vector<relay_candidate> live = Live(now);
   for (const std::string& host :
-       relay_choice::Targets(Self(), live, kSmallDeployment)) {
+       relay_choice::Targets(Self(), live, settings_.small_deployment)) {
     SendTo(host, bytes);
   }
   if (trial && live.size() < members_.size()) {
     auto silent = members_.begin();
     std::advance(silent,
                  static_cast<std::ptrdiff_t>(random_() % members_.size()));
-    SendTo(silent->second.host, bytes);
+    SendTo(silent->second.place.host, bytes);
   }
   if (live.empty()) {
     for (const std::string& seed : settings_.seeds) {
@@ -397,6 +421,7 @@
   beat.setConfigurationVersion(view.configuration_version);
   beat.setListVersion(view.list_version);
   beat.setLeaving(view.leaving);
+  beat.setCapacity(CapacityUnits(settings_.capacity));
   auto leaders = beat.initLeaders(static_cast<unsigned>(view.leaders.size()));
   for (unsigned n = 0; n < leaders.size(); ++n) {
     leaders[n].setGroup(view.leaders[n].group);
@@ -420,6 +445,7 @@
     members[n].setInstance(each.name);
     members[n].setZone(each.zone);
     members[n].setHost(each.host);
+    members[n].setCapacity(members_.at(each.name).place.capacity_units);
   }
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
@@ -468,15 +494,16 @@
   if (name.empty() || name == settings_.instance) {
     return;
   }
-  Introduce(name, Text(beat.getZone()), Text(beat.getHost()));
+  Introduce(name,
+            {Text(beat.getZone()), Text(beat.getHost()), beat.getCapacity()});
   const auto found = members_.find(name);
   if (found == members_.end()) {
     return;
   }
   found->second.heard = core::clock::now();
   for (const auto each : beat.getMembers()) {
-    Introduce(Text(each.getInstance()), Text(each.getZone()),
-              Text(each.getHost()));
+    Introduce(Text(each.getInstance()),
+              {Text(each.getZone()), Text(each.getHost()), each.getCapacity()});
   }
   for (const auto each : beat.getLeaders()) {
     listener_.OnPeerLeader(name, {Text(each.getGroup()), Text(each.getServer()),
@@ -491,7 +518,7 @@
       beat.getConfigurationVersion() > own.configuration_version ||
       (listener_.WantsList() && beat.getListVersion() > own.list_version);
   if (behind) {
-    Pull(found->second.host);
+    Pull(found->second.place.host);
   }
 }
 
@@ -590,9 +617,16 @@
 }
 
 void peer_exchange::Introduce(const std::string& instance,
-                              const std::string& zone,
-                              const std::string& host) {
-  implementation_->Introduce(instance, zone, host);
+                              const instance_place& place) {
+  implementation_->Introduce(instance, place);
+}
+
+void peer_exchange::Pull(const std::string& host) {
+  implementation_->Pull(host);
+}
+
+std::vector<forwarding::home_candidate> peer_exchange::ZoneMembers() const {
+  return implementation_->ZoneMembers();
 }
 
 void peer_exchange::Announce() {
--- a/plantaintiller/gateway/peer_exchange.h
+++ b/plantaintiller/gateway/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "plantaintiller/core/time.h"
+#include "plantaintiller/forwarding/home_choice.h"
 #include "plantaintiller/gateway/event_log.h"
 #include "plantaintiller/gateway/gateway_settings.h"
 #include "plantaintiller/replication/group_state.h"
@@ -22,6 +23,19 @@
   bool changing = false;
 };
 
+/// Where an instance is and how much it can carry.
+struct instance_place {
+  std::string zone;
+  std::string host;
+  /// Processor share, in thousandths of a core.
+  std::uint32_t capacity_units = 1000;
+};
+
+/// A processor share in cores as thousandths.
+inline std::uint32_t CapacityUnits(double cores) {
+  return static_cast<std::uint32_t>(cores * 1000.0);
+}
+
 /// What an instance tells the others of itself.
 struct instance_view {
   std::uint64_t configuration_version = 0;
@@ -62,14 +76,12 @@
 /// Heartbeats between instances, in datagrams of Cap'n Proto, and transfers of
 /// state over TCP to those that are behind.
 ///
-/// Up to `kSmallDeployment` instances tell all others. Above it each tells the
+/// In a small deployment instances tell all others. Above it each tells the
 /// two relays of its availability zone, and relays tell their zone and the
 /// relays of the others, so that the cost of an instance does not grow with
 /// their number.
 class peer_exchange {
  public:
-  static constexpr std::size_t kSmallDeployment = 16;
-
   /// All references must outlive the exchange.
   peer_exchange(boost::asio::io_context& context,
                 const gateway_settings& settings,
@@ -81,13 +93,16 @@
   void Start();
   void Stop();
   /// An instance is known from elsewhere.
-  void Introduce(const std::string& instance,
-                 const std::string& zone,
-                 const std::string& host);
+  void Introduce(const std::string& instance, const instance_place& place);
   /// Sends the view at once, as something in it has changed.
   void Announce();
   /// Asks others to give up an idle connection to a server.
   void AskForConnection(const std::string& group, const std::string& server);
+  /// Takes over the state of an instance that has a newer one.
+  void Pull(const std::string& host);
+  /// Instances of this zone that may be alive, this one among them.
+  /// @return empty in a small deployment.
+  std::vector<forwarding::home_candidate> ZoneMembers() const;
   /// Whether this instance passes news on in a large deployment; in a small one
   /// all do.
   bool IsRelay() const;
--- a/plantaintiller/instances/heartbeat.capnp
+++ b/plantaintiller/instances/heartbeat.capnp
@@ -19,6 +19,8 @@
   full @8 :List(ServerName);
   # Some of the instances that the sender knows.
   members @9 :List(Member);
+  # Processor share of the sender, in thousandths of a core.
+  capacity @10 :UInt32;
 }
 
 struct Leader {
@@ -38,6 +40,7 @@
   instance @0 :Text;
   zone @1 :Text;
   host @2 :Text;
+  capacity @3 :UInt32;
 }
 
 # A request for what the sender's versions show to be newer.
--- a/tests/platform/settings_reader_test.cpp
+++ b/tests/platform/settings_reader_test.cpp
@@ -24,6 +24,8 @@
 ready = "127.0.0.1:8785"
 [limits]
 max-fds = 4200
+cpu-share = 0.25
+cores = 2
 [bounds]
 grace-s = 6
 drain-ms = 7000
@@ -65,6 +67,8 @@
   CHECK(settings->shutdown_grace == plantaintiller::core::milliseconds(6000));
   CHECK(settings->max_sockets == 4000);
   CHECK(settings->operators.port == 0);
+  CHECK(settings->forwarding_port == 7441);
+  CHECK(settings->capacity == 0.5);
 }
 
 TEST_CASE("settings: a bad one is named with its value and what is allowed") {
@@ -74,6 +78,10 @@
         "listen.front: is \"here\", must be HOST:PORT");
   CHECK(ProblemOf(Replaced("[7440, 7455]", "[0, 1]")) ==
         "port-range: must be two ports from 1 to 65535");
+  CHECK(ProblemOf(Replaced("[7440, 7455]", "[7440, 7440]")) ==
+        "port-range: must end above its first port, by 65535");
+  CHECK(ProblemOf(Replaced("cpu-share = 0.25", "cpu-share = 0")) ==
+        "limits.cpu-share: must be a number above 0, at most 1024");
   CHECK(ProblemOf(Replaced("grace-s = 6", "grace-s = -1")) ==
         "bounds.grace-s: must be a number from 1 to 600");
   CHECK(ProblemOf("node = ").starts_with("settings file: "));
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -37,7 +37,7 @@
 node = "{name}"
 ip = "{host}"
 zone = "z1"
-port-range = [{peer}, {peer}]
+port-range = [{peer}, {forwarding}]
 seeds = ["127.0.3.1:{control}"]
 heartbeat-ms = 1200
 [zones]
