A gate a server: statements of transactions wait for their turns

Ruled out: a longer pause for each statement alone. With hundreds waiting it delays each and still sends hundreds.

--- a/plantaintiller/gateway/caller_session.cpp
+++ b/plantaintiller/gateway/caller_session.cpp
@@ -71,11 +71,30 @@
 
 void caller_session::OnConnection(sessions::server_connection& connection) {
   const auto self = shared_from_this();
-  pool_ = nullptr;
+  lender_ = std::exchange(pool_, nullptr);
   engine_.OnConnection(connection);
   Proceed();
 }
 
+bool caller_session::TakeTurn(sessions::server_connection& connection) {
+  return lender_->TakeTurn(connection, *this);
+}
+
+void caller_session::CancelTurn(sessions::server_connection& connection) {
+  lender_->CancelTurn(connection);
+}
+
+void caller_session::EndTurn(sessions::server_connection& connection,
+                             bool typical) {
+  lender_->EndTurn(connection, typical);
+}
+
+void caller_session::OnTurn() {
+  const auto self = shared_from_this();
+  engine_.OnTurn();
+  Proceed();
+}
+
 void caller_session::Reply(const std::string& bytes) {
   if (channel_ == nullptr) {
     return;
--- a/plantaintiller/gateway/caller_session.h
+++ b/plantaintiller/gateway/caller_session.h
@@ -48,6 +48,9 @@
   sessions::server_codec& Servers() override { return environment_.Servers(); }
   void Acquire(const sessions::connection_need& need) override;
   void CancelAcquire() override;
+  bool TakeTurn(sessions::server_connection& connection) override;
+  void CancelTurn(sessions::server_connection& connection) override;
+  void EndTurn(sessions::server_connection& connection, bool typical) override;
   void Reply(const std::string& bytes) override;
   void Close() override;
   void SetTimer(core::time_point when) override;
@@ -71,6 +74,7 @@
   // connection_taker
   sessions::reply_listener& Listener() override { return engine_; }
   void OnConnection(sessions::server_connection& connection) override;
+  void OnTurn() override;
 
  private:
   void Proceed();
@@ -82,7 +86,10 @@
   /// Null once the caller is gone.
   sessions::session_channel* channel_;
   sessions::session_engine engine_;
+  /// Set while a connection is asked for.
   connection_pool* pool_ = nullptr;
+  /// Gave the connection that is in use.
+  connection_pool* lender_ = nullptr;
   std::string input_;
   bool proceeding_ = false;
   bool closing_ = false;
--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -118,7 +118,64 @@
   });
 }
 
+bool connection_pool::TakeTurn(sessions::server_connection& connection,
+                               connection_taker& taker) {
+  const bool others_wait =
+      std::any_of(turns_.begin(), turns_.end(), [&](const turn& each) {
+        return each.connection->Server() == connection.Server();
+      });
+  if (others_wait || !MayRun(connection.Server())) {
+    turns_.push_back({&connection, &taker});
+    Schedule();
+    return false;
+  }
+  StartTurn(connection);
+  return true;
+}
+
+void connection_pool::StartTurn(sessions::server_connection& connection) {
+  use& granted = lent_.at(&connection);
+  granted.since = core::clock::now();
+  if (replication::group_state::server* found =
+          group_.Find(connection.Server())) {
+    granted.counted = true;
+    found->gate.OnStart();
+  }
+}
+
+void connection_pool::CancelTurn(
+    const sessions::server_connection& connection) {
+  turns_.remove_if([&connection](const turn& each) {
+    return each.connection == &connection;
+  });
+}
+
+void connection_pool::EndTurn(sessions::server_connection& connection,
+                              bool typical) {
+  const auto lent = lent_.find(&connection);
+  if (lent != lent_.end()) {
+    EndUse(connection.Server(), lent->second, typical);
+  }
+}
+
+void connection_pool::GrantTurns() {
+  std::list<turn> granted;
+  for (auto each = turns_.begin(); each != turns_.end();) {
+    const auto next = std::next(each);
+    if (MayRun(each->connection->Server())) {
+      StartTurn(*each->connection);
+      granted.splice(granted.end(), turns_, each);
+    }
+    each = next;
+  }
+  for (const turn& each : granted) {
+    each.taker->OnTurn();
+  }
+}
+
 void connection_pool::Dispatch() {
+  // What a transaction has done is lost if it cannot go on.
+  GrantTurns();
   std::map<std::string, int> wanted;
   for (auto each = waiting_.begin(); each != waiting_.end();) {
     server_link* link = FindIdle(each->need, wanted);
@@ -147,7 +204,10 @@
     order.push_back(group_.Leader());
   }
   for (const std::string& id : order) {
-    if (!MayRun(need, id)) {
+    // Questions to servers must not wait behind callers; a transaction's
+    // statements wait for their turns.
+    const bool gated = need.server.empty() && !need.transaction;
+    if (gated && !MayRun(id)) {
       continue;
     }
     server_links& links = servers_[id];
@@ -161,22 +221,46 @@
   return nullptr;
 }
 
-bool connection_pool::MayRun(const sessions::connection_need& need,
-                             const std::string& server) {
+bool connection_pool::MayRun(const std::string& server) {
   const replication::group_state::server* found = group_.Find(server);
-  // Statements of transactions follow their own pace, and questions to servers
-  // must not wait behind callers.
-  return found == nullptr || need.transaction || !need.server.empty() ||
-         found->singles < found->limit.Limit();
+  if (found == nullptr) {
+    return true;
+  }
+  const core::time_point now = core::clock::now();
+  if (found->gate.OpensAt() > now) {
+    ArmWake(found->gate.OpensAt());
+  }
+  return found->gate.MayStart(now);
 }
 
 void connection_pool::OnLent(server_link& link,
                              const sessions::connection_need& need) {
-  const bool single = !need.transaction && need.server.empty();
-  lent_[&link] = {!single, core::clock::now()};
+  use& lent = lent_[&link];
+  lent = {!need.server.empty() || need.transaction, false, core::clock::now()};
   if (replication::group_state::server* found = group_.Find(link.Server())) {
     found->running += 1;
-    found->singles += single ? 1 : 0;
+    if (!lent.transaction) {
+      lent.counted = true;
+      found->gate.OnStart();
+    }
+  }
+}
+
+void connection_pool::EndUse(const std::string& server,
+                             use& ended,
+                             bool typical) {
+  replication::group_state::server* found = group_.Find(server);
+  if (found == nullptr || !ended.counted) {
+    return;
+  }
+  ended.counted = false;
+  found->gate.OnEnd();
+  if (typical) {
+    found->gate.OnAnswer(core::clock::now() - ended.since,
+                         replication::RoundTrip(found->away));
+  }
+  if (!waiting_.empty() || !turns_.empty()) {
+    Schedule();
   }
 }
 
@@ -185,19 +269,12 @@
   if (lent == lent_.end()) {
     return;
   }
-  const use used = lent->second;
+  use used = lent->second;
   lent_.erase(lent);
-  replication::group_state::server* found = group_.Find(link.Server());
-  if (found == nullptr) {
-    return;
-  }
-  found->running = std::max(0, found->running - 1);
-  if (!used.transaction) {
-    found->singles = std::max(0, found->singles - 1);
-    if (answered) {
-      found->limit.OnAnswer(core::clock::now() - used.since,
-                            replication::RoundTrip(found->away));
-    }
+  CancelTurn(link);
+  EndUse(link.Server(), used, answered && !used.transaction);
+  if (replication::group_state::server* found = group_.Find(link.Server())) {
+    found->running = std::max(0, found->running - 1);
   }
 }
 
--- a/plantaintiller/gateway/connection_pool.h
+++ b/plantaintiller/gateway/connection_pool.h
@@ -22,6 +22,8 @@
   /// @return who hears the answers.
   virtual sessions::reply_listener& Listener() = 0;
   virtual void OnConnection(sessions::server_connection& connection) = 0;
+  /// The turn that was asked for has come.
+  virtual void OnTurn() {}
 };
 
 /// Connections to the servers of one group. They are opened when someone
@@ -52,6 +54,16 @@
   void Acquire(const sessions::connection_need& need, connection_taker& taker);
   /// Withdraws a request that was not granted.
   void Cancel(connection_taker& taker);
+  /// Asks to send a statement of a transaction on the connection that it
+  /// holds. @return whether it may be sent now; if not, `taker` hears of its
+  /// turn later.
+  bool TakeTurn(sessions::server_connection& connection,
+                connection_taker& taker);
+  /// Withdraws a request that was not granted.
+  void CancelTurn(const sessions::server_connection& connection);
+  /// The statement was answered. @param typical whether its time tells how long
+  /// the server's queue is.
+  void EndTurn(sessions::server_connection& connection, bool typical);
   /// Limit of each server, from the configuration.
   void SetLimit(int connections) { limit_ = connections; }
   /// The group has changed: serves who can be served now.
@@ -77,9 +89,17 @@
   };
   /// What a lent connection is used for.
   struct use {
+    /// Its statements wait for their turns one by one.
     bool transaction = false;
+    /// Whether a statement is in progress that the server's gate counts.
+    bool counted = false;
     core::time_point since;
   };
+  /// A transaction's statement that waits for its turn.
+  struct turn {
+    sessions::server_connection* connection = nullptr;
+    connection_taker* taker = nullptr;
+  };
   struct server_links {
     std::vector<std::shared_ptr<server_link>> all;
     /// Last left last: the warmest is lent first.
@@ -93,7 +113,10 @@
   void Dispatch();
   server_link* FindIdle(const sessions::connection_need& need,
                         std::map<std::string, int>& wanted);
-  bool MayRun(const sessions::connection_need& need, const std::string& server);
+  bool MayRun(const std::string& server);
+  void StartTurn(sessions::server_connection& connection);
+  void GrantTurns();
+  void EndUse(const std::string& server, use& ended, bool typical);
   void OnLent(server_link& link, const sessions::connection_need& need);
   void OnLeft(server_link& link, bool answered);
   void OpenWanted(const std::map<std::string, int>& wanted);
@@ -109,7 +132,8 @@
   int limit_ = 16;
   std::map<std::string, server_links> servers_;
   std::list<request> waiting_;
-  std::map<server_link*, use> lent_;
+  std::list<turn> turns_;
+  std::map<const sessions::server_connection*, use> lent_;
   bool scheduled_ = false;
   boost::asio::steady_timer wake_;
   core::time_point wake_at_;
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -233,7 +233,13 @@
 void group_state::OnBusy(const std::string& server, core::time_point now) {
   if (group_state::server* found = Find(server)) {
     found->avoid_until = now + kTroublePause;
-    found->limit.OnRefused();
+    found->gate.OnRefused(now);
+  }
+}
+
+void group_state::OnFailed(const std::string& server, core::time_point now) {
+  if (group_state::server* found = Find(server)) {
+    found->avoid_until = now + kTroublePause;
   }
 }
 
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "plantaintiller/core/time.h"
-#include "plantaintiller/replication/concurrency_limit.h"
 #include "plantaintiller/replication/freshness.h"
+#include "plantaintiller/replication/statement_gate.h"
 
 namespace plantaintiller::replication {
 
@@ -44,9 +44,7 @@
     distance away = distance::kSameZone;
     /// Connections that this instance uses there now.
     int running = 0;
-    /// Those of them that run single statements.
-    int singles = 0;
-    concurrency_limit limit;
+    statement_gate gate;
     /// Whether a connection to it is open.
     bool connected = false;
     /// Not chosen for reads before this time, unless nothing else is left.
@@ -95,8 +93,10 @@
   void OnTrouble(const std::string& server,
                  core::time_point sent,
                  core::time_point now);
-  /// A server answered that it is too busy.
+  /// A server refused a statement, its queue being full.
   void OnBusy(const std::string& server, core::time_point now);
+  /// A server answered, but failed to run a statement.
+  void OnFailed(const std::string& server, core::time_point now);
   /// A write was answered, or was not in time.
   void OnWriteOutcome(const std::string& server, bool answered);
 
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -193,10 +193,7 @@
   attempts_ = 0;
   last_reason_ = "no_server";
   if (transaction_ == transaction::kOpen) {
-    std::string out;
-    const int set_up = AppendSetUp(out);
-    outstanding_.assign(static_cast<std::size_t>(set_up), reply_role::kSetUp);
-    SendStatement(std::move(out), std::nullopt);
+    SendInTurn();
     return;
   }
   StartAttempt();
@@ -355,6 +352,22 @@
   connection_->Send(out, static_cast<int>(outstanding_.size()));
 }
 
+void session_engine::SendInTurn() {
+  if (!host_.TakeTurn(*connection_)) {
+    phase_ = phase::kAwaitingTurn;
+    host_.SetTimer(deadline_);
+    return;
+  }
+  OnTurn();
+}
+
+void session_engine::OnTurn() {
+  std::string out;
+  const int set_up = AppendSetUp(out);
+  outstanding_.assign(static_cast<std::size_t>(set_up), reply_role::kSetUp);
+  SendStatement(std::move(out), std::nullopt);
+}
+
 void session_engine::SendStatement(std::string out,
                                    std::optional<core::log_position> at_least) {
   if (current_.kind == statement_kind::kExecute) {
@@ -429,7 +442,7 @@
   }
   if (HasTransaction()) {
     transaction_ = transaction::kOpen;
-    SendStatement({}, std::nullopt);
+    SendInTurn();
     return;
   }
   if (current_writes_) {
@@ -445,6 +458,9 @@
 }
 
 void session_engine::OnStatementReply(const server_reply& reply) {
+  if (HasTransaction()) {
+    host_.EndTurn(*connection_, reply.succeeded && !current_writes_);
+  }
   replication::group_state* group = host_.Group(route_->group);
   if (group != nullptr) {
     group->OnSuccess(server_);
@@ -500,9 +516,12 @@
     case failure_code::kLagging:
       group->OnLagging(server_, host_.Now());
       break;
-    default:
+    case failure_code::kBusy:
       group->OnBusy(server_, host_.Now());
       break;
+    default:
+      group->OnFailed(server_, host_.Now());
+      break;
   }
 }
 
@@ -637,12 +656,16 @@
           GiveUp(failure_code::kBusy, last_reason_);
         }
       } else if (connection_ != nullptr) {
-        outstanding_.clear();
-        SendStatement({}, std::nullopt);
+        SendInTurn();
       } else {
         StartAttempt();
       }
       return;
+    case phase::kAwaitingTurn:
+      // Nothing of the statement was sent.
+      LeaveConnection(leave_kind::kRollBack);
+      FailTransaction("no_turn");
+      return;
     case phase::kProving:
       ReportTrouble(sent_);
       LeaveConnection(leave_kind::kBroken);
@@ -741,6 +764,9 @@
   server_connection* connection = connection_;
   connection_ = nullptr;
   outstanding_.clear();
+  if (phase_ == phase::kAwaitingTurn) {
+    host_.CancelTurn(*connection);
+  }
   connection->Leave(how);
 }
 
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -51,6 +51,8 @@
   void OnCallerGone();
   /// A connection as asked for. @param leads whether it is the leader's.
   void OnConnection(server_connection& connection);
+  /// The statement of a transaction that waited for its turn may be sent.
+  void OnTurn();
   void OnTimer();
   void OnReply(server_reply reply) override;
   void OnLost() override;
@@ -68,6 +70,8 @@
     kAcquiring,
     kPausing,
     kProving,
+    /// A transaction's statement waits until its server may be sent more.
+    kAwaitingTurn,
     kRunning,
   };
   enum class transaction : std::uint8_t {
@@ -116,6 +120,7 @@
              bool keep_open,
              bool read_only,
              std::optional<core::log_position> at_least);
+  void SendInTurn();
   void SendStatement(std::string out,
                      std::optional<core::log_position> at_least);
   void OnProved();
--- a/plantaintiller/sessions/session_host.h
+++ b/plantaintiller/sessions/session_host.h
@@ -42,6 +42,15 @@
   virtual void Acquire(const connection_need& need) = 0;
   /// Withdraws the last `Acquire`, if it was not answered.
   virtual void CancelAcquire() = 0;
+  /// Asks to send a transaction's statement on the connection that it holds.
+  /// @return whether it may be sent now; if not, `OnTurn` follows later, never
+  /// during the call.
+  virtual bool TakeTurn(server_connection& connection) = 0;
+  /// Withdraws the last `TakeTurn`, if its turn has not come.
+  virtual void CancelTurn(server_connection& connection) = 0;
+  /// A statement that had its turn was answered. @param typical whether the
+  /// time it took tells how long the server's queue is.
+  virtual void EndTurn(server_connection& connection, bool typical) = 0;
   /// Sends bytes to the caller.
   virtual void Reply(const std::string& bytes) = 0;
   /// Ends the caller's connection after what was sent to it.
--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -80,6 +80,12 @@
   server_codec& Servers() override { return servers; }
   void Acquire(const connection_need& asked) override { need = asked; }
   void CancelAcquire() override { need.reset(); }
+  bool TakeTurn(server_connection&) override {
+    turns_asked += 1;
+    return turns_free;
+  }
+  void CancelTurn(server_connection&) override { turns_cancelled += 1; }
+  void EndTurn(server_connection&, bool) override { turns_ended += 1; }
   void Reply(const std::string& bytes) override { replies += bytes; }
   void Close() override { closed = true; }
   void SetTimer(core::time_point when) override { timer = when; }
@@ -106,6 +112,10 @@
   std::optional<core::time_point> timer;
   std::string replies;
   bool closed = false;
+  bool turns_free = true;
+  int turns_asked = 0;
+  int turns_ended = 0;
+  int turns_cancelled = 0;
   std::vector<std::string> not_leader;
   std::vector<std::string> trouble;
   std::vector<std::string> notes;
--- a/tests/platform/session_lines_test.cpp
+++ b/tests/platform/session_lines_test.cpp
@@ -272,4 +272,38 @@
   CHECK(session.host.TakeReplies().starts_with("ERROR BUSY"));
 }
 
+// The pattern: a leader without slots refused the statements of transactions,
+// which each session then repeated every 25 ms, 1,800 times in two seconds.
+TEST_CASE("a transaction's statements wait for their turns") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 BEGIN");
+  session.Say("QUERY 2 WRITE a b");
+  fake_connection& leader = session.Grant("a");
+  session.host.turns_free = false;
+  session.Answer({"COMPLETE -", "READY T 3.5"});
+  CHECK(leader.TakeSent() == "QUERY - BEGIN\r\n");
+  CHECK(session.host.turns_asked == 1);
+  session.engine.OnTurn();
+  CHECK(leader.TakeSent() == "QUERY 2 WRITE a b\r\n");
+  session.Answer({"COMPLETE r.1", "READY T 3.5"});
+  CHECK(session.host.turns_ended == 1);
+}
+
+TEST_CASE("a transaction whose turn does not come is aborted, as not run") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 BEGIN");
+  session.Say("QUERY 2 WRITE a b");
+  fake_connection& leader = session.Grant("a");
+  session.host.turns_free = false;
+  session.Answer({"COMPLETE -", "READY T 3.5"});
+  leader.TakeSent();
+  session.host.TakeReplies();
+  session.Pass(milliseconds(1000));
+  session.engine.OnTimer();
+  CHECK(leader.TakeSent().empty());
+  CHECK(session.host.turns_cancelled == 1);
+  CHECK(session.host.TakeReplies().starts_with("ERROR ABORTED "));
+  CHECK(leader.left == leave_kind::kRollBack);
+}
+
 }  // namespace plantaintiller::sessions
