Liveness by the word of others; few relays read the store; connections kept warm

Cause: an instance greets all others at its start and then sends heartbeats to its relays alone. Six seconds later all but the relays counted as gone for 34 s: most instances saw a small deployment, each read the store every second and served what arrived. Ruled out: heartbeats of all to all (cost with the square of instances); a longer silence (a dead relay would be missed by as much). Change: who sent several heartbeats in a row and fell silent is gone, of all others the word of relays is taken, with the age of what they heard. Heartbeats tell the age of the sender's knowledge of the store, so that four relays read it for all; lists are compared by a hash. Each home opens up to three connections a server ahead of need and keeps half of its share open.

--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -20,14 +20,21 @@
 constexpr int kMaxDoublings = 3;
 /// Connections opened to one server at a time: each takes a slot there.
 constexpr int kMaxOpening = 2;
-/// Idle time after which a connection beyond the first is closed: long against
-/// the pauses of one caller. Servers count the connections of a machine without
-/// power for 3 s more, so that few open ones leave room for its successor.
+/// Idle time after which a connection beyond the warm ones is closed: long
+/// against the pauses of one caller. Servers count the connections of a machine
+/// without power for 3 s more, so that few open ones leave room for its
+/// successor.
 constexpr core::milliseconds kIdleLimit{2000};
+/// The same for connections within the instance's own share: a new one takes a
+/// slot for several statements' time, and none would be missed by others.
+constexpr core::milliseconds kKeptIdleLimit{15000};
 /// When the oldest of a class has waited this long, the newest are served
 /// first: they can still be answered in time, the oldest mostly cannot
 /// (adaptive LIFO, Maurer, 2015).
 constexpr core::milliseconds kOverloadedWait{80};
+/// Pause before a connection that was given up, refused or lost is opened ahead
+/// of need again: twice the idle limit, so that whoever lacked it keeps it.
+constexpr core::milliseconds kWarmPause{4000};
 
 }  // namespace
 
@@ -79,6 +86,28 @@
       [&taker](const request& each) { return each.taker == &taker; });
 }
 
+void connection_pool::SetLimits(const limits& given) {
+  limits_ = given;
+  KeepWarm();
+  ArmTrim();
+}
+
+void connection_pool::KeepWarm() {
+  const core::time_point now = core::clock::now();
+  for (const auto& [id, each] : group_.Servers()) {
+    if (each.entry.draining || each.lapsed_since.has_value() ||
+        each.failures > 0) {
+      continue;
+    }
+    server_links& links = servers_[id];
+    if (static_cast<int>(links.all.size()) < limits_.warm &&
+        links.opening == 0 && links.open_again <= now &&
+        links.warm_again <= now) {
+      Open(id, links);
+    }
+  }
+}
+
 void connection_pool::OnGroupChanged() {
   for (auto& [id, links] : servers_) {
     const replication::group_state::server* known = group_.Find(id);
@@ -90,6 +119,7 @@
       each->Close();
     }
   }
+  KeepWarm();
   Schedule();
 }
 
@@ -101,6 +131,7 @@
   // The one that has been idle longest.
   server_link* oldest = found->second.idle.front();
   found->second.idle.erase(found->second.idle.begin());
+  found->second.warm_again = core::clock::now() + kWarmPause;
   oldest->Close();
   return true;
 }
@@ -282,25 +313,16 @@
   const core::time_point now = core::clock::now();
   core::time_point soonest = core::time_point::max();
   for (const auto& [id, count] : wanted) {
-    const std::string address = group_.AddressOf(id);
-    if (address.empty()) {
-      continue;
-    }
     server_links& links = servers_[id];
     while (links.opening < std::min(count, kMaxOpening) &&
-           static_cast<int>(links.all.size()) < limit_) {
+           static_cast<int>(links.all.size()) < limits_.most) {
       if (links.open_again > now) {
         soonest = std::min(soonest, links.open_again);
         break;
       }
-      link_target target;
-      target.group = group_.Name();
-      target.server = id;
-      if (!SplitAddress(address, target.host, target.port)) {
+      if (!Open(id, links)) {
         break;
       }
-      links.opening += 1;
-      links.all.push_back(server_link::Open(context_, codec_, target, *this));
     }
   }
   if (soonest != core::time_point::max()) {
@@ -308,6 +330,18 @@
   }
 }
 
+bool connection_pool::Open(const std::string& server, server_links& links) {
+  link_target target;
+  target.group = group_.Name();
+  target.server = server;
+  if (!SplitAddress(group_.AddressOf(server), target.host, target.port)) {
+    return false;
+  }
+  links.opening += 1;
+  links.all.push_back(server_link::Open(context_, codec_, target, *this));
+  return true;
+}
+
 void connection_pool::ArmWake(core::time_point when) {
   if (wake_at_ > core::clock::now() && wake_at_ <= when) {
     return;
@@ -335,8 +369,10 @@
   }
   links.idle.push_back(&link);
   NoteOpen(link.Server());
-  if (links.all.size() > 1) {
+  if (static_cast<int>(links.all.size()) > limits_.warm) {
     ArmTrim();
+  } else if (before == link_phase::kOpening) {
+    KeepWarm();
   }
   if (!waiting_.empty()) {
     Schedule();
@@ -368,13 +404,20 @@
 void connection_pool::Trim() {
   const core::time_point now = core::clock::now();
   for (auto& [id, links] : servers_) {
-    while (links.all.size() > 1 && !links.idle.empty() &&
-           now - links.idle.front()->IdleSince() >= kIdleLimit) {
+    const auto excess = [&links, this] {
+      return static_cast<int>(links.all.size()) > limits_.warm;
+    };
+    const auto is_due = [&links, this, now] {
+      const bool kept = static_cast<int>(links.all.size()) <= limits_.kept;
+      return now - links.idle.front()->IdleSince() >=
+             (kept ? kKeptIdleLimit : kIdleLimit);
+    };
+    while (excess() && !links.idle.empty() && is_due()) {
       server_link* oldest = links.idle.front();
       links.idle.erase(links.idle.begin());
       oldest->Close();
     }
-    if (links.all.size() > 1) {
+    if (excess()) {
       ArmTrim();
     }
   }
@@ -401,6 +444,7 @@
     links.open_again = core::clock::now() +
                        pause * (1 << std::min(links.refusals, kMaxDoublings));
     links.refusals += 1;
+    links.warm_again = core::clock::now() + kWarmPause;
     if (why == link_end::kFull) {
       events_.OnServerFull(group_.Name(), server);
     } else {
--- a/plantaintiller/gateway/connection_pool.h
+++ b/plantaintiller/gateway/connection_pool.h
@@ -64,8 +64,17 @@
   /// The statement was answered. @param typical whether its time tells how long
   /// the server's queue is.
   void EndTurn(sessions::server_connection& connection, bool typical);
-  /// Limit of each server, from the configuration.
-  void SetLimit(int connections) { limit_ = connections; }
+  /// Connections of this instance to each server.
+  struct limits {
+    /// That the server accepts from all, from the configuration.
+    int most = 16;
+    /// That are kept for longer while idle.
+    int kept = 0;
+    /// Those of them that are opened ahead of need and never closed for being
+    /// idle.
+    int warm = 0;
+  };
+  void SetLimits(const limits& given);
   /// The group has changed: serves who can be served now.
   void OnGroupChanged();
   /// Another instance lacks a connection to a server: closes one that has been
@@ -107,6 +116,8 @@
     int opening = 0;
     core::time_point open_again;
     int refusals = 0;
+    /// None is opened ahead of need before this time.
+    core::time_point warm_again;
   };
 
   void Schedule();
@@ -120,6 +131,8 @@
   void OnLent(server_link& link, const sessions::connection_need& need);
   void OnLeft(server_link& link, bool answered);
   void OpenWanted(const std::map<std::string, int>& wanted);
+  void KeepWarm();
+  bool Open(const std::string& server, server_links& links);
   void ArmWake(core::time_point when);
   void NoteOpen(const std::string& server);
   void ArmTrim();
@@ -129,7 +142,7 @@
   sessions::server_codec& codec_;
   replication::group_state& group_;
   listener& events_;
-  int limit_ = 16;
+  limits limits_;
   std::map<std::string, server_links> servers_;
   std::list<request> waiting_;
   std::list<turn> turns_;
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -48,6 +48,15 @@
 constexpr core::milliseconds kLeaderNews{4000};
 /// Most leaders told in one heartbeat, to fit a datagram.
 constexpr std::size_t kMaxLeaderNews = 8;
+/// How long an instance in a large deployment makes do with the reads of
+/// others: a reader's pause, and two heartbeats on the way from it over a
+/// relay.
+constexpr core::milliseconds kStoreTrust{4000};
+/// Oldest knowledge of the store that is told as a number.
+constexpr core::milliseconds kMostStoreAge{3600000};
+/// Most connections to one server that are opened ahead of need: with the homes
+/// of all zones they carry the reads of a usual second.
+constexpr int kMostWarm = 3;
 
 /// A database group with the connections to its servers.
 struct group_entry {
@@ -83,12 +92,7 @@
         signals_(context, SIGTERM, SIGINT),
         reload_(context, SIGHUP),
         stop_timer_(context),
-        watch_(context,
-               peers.rows,
-               peers.directory,
-               log_,
-               settings.drain_limit,
-               *this),
+        watch_(context, peers.rows, peers.directory, log_, *this),
         exchange_(context, settings, log_, *this),
         registry_(context, settings, peers.rows, exchange_),
         forwarder_(context, ForwarderSettings(settings), *this, log_),
@@ -136,7 +140,12 @@
   void OnServers(std::vector<replication::server_entry> servers,
                  store::row_version version) override;
 
-  bool IsFollower() const override { return !exchange_.IsRelay(); }
+  core::time_point FollowsUntil() const override {
+    // A reader that the store turns away makes do with the others.
+    return exchange_.IsReader() && !watch_.IsLost()
+               ? core::time_point{}
+               : store_known_ + kStoreTrust;
+  }
 
   // peer_listener
   instance_view View() const override;
@@ -147,7 +156,10 @@
   void OnPeerLacksConnection(const std::string& group,
                              const std::string& server) override;
   void OnRemoteState(const remote_state& state) override;
-  bool WantsList() const override { return watch_.IsLost() || IsFollower(); }
+  void OnStoreAge(core::milliseconds age, std::uint64_t list_version) override;
+  bool WantsList() const override {
+    return watch_.IsLost() || !exchange_.IsReader();
+  }
 
   // leader_keeper_listener
   void OnLeaderChange(const std::string& group) override;
@@ -206,6 +218,10 @@
   std::map<std::string, replication::distance> Distances() const;
   void ApplyServers(const std::vector<replication::server_entry>& servers,
                     store::row_version version);
+  void TakeList(std::vector<replication::server_entry> servers,
+                store::row_version version);
+  connection_pool::limits ConnectionLimits(
+      const core::group_settings& group) const;
   http::response OperatorAnswer(const std::string& target);
   void ListenForCallers();
   void ListenForOperators();
@@ -237,6 +253,9 @@
   std::string routes_text_;
   std::vector<replication::server_entry> servers_;
   store::row_version list_version_ = 0;
+  std::uint64_t list_hash_ = 0;
+  /// When the store was read last, here or by others whose word is taken.
+  core::time_point store_known_;
   /// When each group's leader changed last.
   std::map<std::string, core::time_point> leader_news_;
   store_watch watch_;
@@ -440,7 +459,7 @@
   exchange_.Announce();
   guests_.OnConfiguration();
   for (const auto& [name, group] : routes_.groups) {
-    EnsureGroup(name).pool.SetLimit(group.max_connections);
+    EnsureGroup(name).pool.SetLimits(ConnectionLimits(group));
   }
   ListenForCallers();
 }
@@ -448,15 +467,51 @@
 void gateway::implementation::OnServers(
     std::vector<replication::server_entry> servers,
     store::row_version version) {
+  store_known_ = core::clock::now();
+  TakeList(std::move(servers), version);
+}
+
+void gateway::implementation::TakeList(
+    std::vector<replication::server_entry> servers,
+    store::row_version version) {
   // A list that says the same is no news for those that take it from here.
   if (servers != servers_ || list_version_ == 0) {
     servers_ = std::move(servers);
-    list_version_ = std::max(list_version_, version);
+    list_hash_ = replication::HashOf(servers_);
     exchange_.Announce();
   }
+  list_version_ = std::max(list_version_, version);
   ApplyServers(servers_, version);
 }
 
+void gateway::implementation::OnStoreAge(core::milliseconds age,
+                                         std::uint64_t list_version) {
+  store_known_ = std::max(store_known_, core::clock::now() - age);
+  list_version_ = std::max(list_version_, list_version);
+}
+
+connection_pool::limits gateway::implementation::ConnectionLimits(
+    const core::group_settings& group) const {
+  connection_pool::limits made;
+  made.most = group.max_connections;
+  const std::vector<forwarding::home_candidate> zone = exchange_.ZoneMembers();
+  std::size_t sharers = exchange_.LivePeers() + 1;
+  if (!zone.empty()) {
+    const std::string home =
+        forwarding::home_choice::Order(group.name, zone).front().instance;
+    if (home != settings_.instance) {
+      return made;
+    }
+    sharers = std::max<std::size_t>(1, settings_.regions.size());
+  }
+  // Half of the share: servers count the connections of a lost instance beside
+  // those of its successor for a while.
+  made.kept =
+      std::max(1, group.max_connections / static_cast<int>(sharers) / 2);
+  made.warm = std::min(made.kept, kMostWarm);
+  return made;
+}
+
 void gateway::implementation::ApplyServers(
     const std::vector<replication::server_entry>& servers,
     store::row_version version) {
@@ -475,6 +530,10 @@
           .With("before", before)
           .With("store_version", static_cast<std::int64_t>(version));
     }
+    const auto limits = routes_.groups.find(name);
+    if (limits != routes_.groups.end()) {
+      group->pool.SetLimits(ConnectionLimits(limits->second));
+    }
     group->pool.OnGroupChanged();
     keeper_.Evaluate(name);
   }
@@ -486,6 +545,9 @@
   instance_view view;
   view.configuration_version = routes_.version;
   view.list_version = list_version_;
+  view.list_hash = list_hash_;
+  view.store_age = std::min(
+      kMostStoreAge, core::ToMilliseconds(core::clock::now() - store_known_));
   view.leaving = stopping_;
   const core::time_point now = core::clock::now();
   for (const auto& [name, group] : groups_) {
@@ -561,7 +623,8 @@
       WantsList()) {
     log_line(log_, "store", "list_from_peer")
         .With("store_version", static_cast<std::int64_t>(state.list_version));
-    OnServers(state.servers, state.list_version);
+    watch_.Adopt(state.servers);
+    TakeList(state.servers, state.list_version);
   }
 }
 
--- a/plantaintiller/gateway/peer_exchange.cpp
+++ b/plantaintiller/gateway/peer_exchange.cpp
@@ -17,6 +17,7 @@
 #include <set>
 #include <utility>
 
+#include "plantaintiller/gateway/member_life.h"
 #include "plantaintiller/gateway/relay_choice.h"
 #include "plantaintiller/gateway/socket_options.h"
 #include "plantaintiller/instances/heartbeat.capnp.h"
@@ -34,11 +35,6 @@
 /// Pause between heartbeats: news travels at once, so that they only find
 /// instances that missed it, well within the time that a configuration has.
 constexpr core::milliseconds kBeat{1500};
-/// Silence after which an instance gets only a trial heartbeat now and then.
-constexpr core::milliseconds kSilence{6000};
-/// How long the word of others that an instance is alive holds: relays tell
-/// some members with each heartbeat, all of a zone within this time.
-constexpr core::milliseconds kVouched{40000};
 /// News of one moment leave in one datagram.
 constexpr core::milliseconds kGather{3};
 /// Least pause between requests for connections.
@@ -54,16 +50,7 @@
 
 struct member {
   instance_place place;
-  /// When another instance, or the store, said last that it is alive.
-  core::time_point vouched;
-  core::time_point heard;
-
-  bool IsLive(core::time_point now) const {
-    // In a large deployment most are never heard from; one that was, and fell
-    // silent, counts as gone until nobody can mean that silence any more.
-    return now - heard < kSilence ||
-           (now - vouched < kVouched && now - heard > kVouched);
-  }
+  member_life life;
 };
 
 double Cores(std::uint32_t units) {
@@ -220,11 +207,13 @@
 
   void Start();
   void Stop();
-  void Introduce(const std::string& instance, const instance_place& place);
+  void Introduce(const std::string& instance,
+                 const instance_place& place,
+                 core::time_point heard);
   void Announce();
   void AskForConnection(const std::string& group, const std::string& server);
   std::size_t LivePeers() const;
-  bool IsRelay() const;
+  bool IsReader() const;
   void Pull(const std::string& host);
   std::vector<forwarding::home_candidate> ZoneMembers() const;
 
@@ -288,7 +277,8 @@
 }
 
 void peer_exchange::implementation::Introduce(const std::string& instance,
-                                              const instance_place& place) {
+                                              const instance_place& place,
+                                              core::time_point heard) {
   if (instance == settings_.instance || members_.size() >= kMaxMembers) {
     return;
   }
@@ -296,7 +286,7 @@
   member& known = members_[instance];
   const bool moved = known.place.host != place.host;
   known.place = place;
-  known.vouched = core::clock::now();
+  known.life.OnVouched(heard);
   if (added || moved) {
     SendTo(place.host, Encode());
   }
@@ -332,7 +322,7 @@
     core::time_point now) const {
   std::vector<relay_candidate> live;
   for (const auto& [name, each] : members_) {
-    if (each.IsLive(now)) {
+    if (each.life.IsLive(now)) {
       live.push_back({name, each.place.zone, each.place.host});
     }
   }
@@ -343,9 +333,9 @@
   return Live(core::clock::now()).size();
 }
 
-bool peer_exchange::implementation::IsRelay() const {
-  return relay_choice::IsRelay(Self(), Live(core::clock::now()),
-                               settings_.small_deployment);
+bool peer_exchange::implementation::IsReader() const {
+  return relay_choice::IsReader(Self(), Live(core::clock::now()),
+                                settings_.small_deployment);
 }
 
 std::vector<forwarding::home_candidate>
@@ -354,7 +344,7 @@
   std::vector<forwarding::home_candidate> zone;
   std::size_t live = 0;
   for (const auto& [name, each] : members_) {
-    if (!each.IsLive(now)) {
+    if (!each.life.IsLive(now)) {
       continue;
     }
     live += 1;
@@ -421,6 +411,8 @@
   beat.setConfigurationVersion(view.configuration_version);
   beat.setListVersion(view.list_version);
   beat.setLeaving(view.leaving);
+  beat.setListHash(view.list_hash);
+  beat.setStoreAgeMs(static_cast<std::uint32_t>(view.store_age.count()));
   beat.setCapacity(CapacityUnits(settings_.capacity));
   auto leaders = beat.initLeaders(static_cast<unsigned>(view.leaders.size()));
   for (unsigned n = 0; n < leaders.size(); ++n) {
@@ -436,7 +428,8 @@
     full[place].setServer(server);
     ++place;
   }
-  const std::vector<relay_candidate> live = Live(core::clock::now());
+  const core::time_point now = core::clock::now();
+  const std::vector<relay_candidate> live = Live(now);
   const std::size_t told = std::min(kToldMembers, live.size());
   auto members = beat.initMembers(static_cast<unsigned>(told));
   const std::size_t first = live.empty() ? 0 : random_() % live.size();
@@ -445,7 +438,10 @@
     members[n].setInstance(each.name);
     members[n].setZone(each.zone);
     members[n].setHost(each.host);
-    members[n].setCapacity(members_.at(each.name).place.capacity_units);
+    const member& known = members_.at(each.name);
+    members[n].setCapacity(known.place.capacity_units);
+    members[n].setAgeMs(static_cast<std::uint32_t>(
+        core::ToMilliseconds(now - known.life.LastSign()).count()));
   }
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
@@ -490,20 +486,23 @@
 }
 
 void peer_exchange::implementation::OnHeartbeat(wire::Heartbeat::Reader beat) {
+  const core::time_point now = core::clock::now();
   const std::string name = Text(beat.getInstance());
   if (name.empty() || name == settings_.instance) {
     return;
   }
   Introduce(name,
-            {Text(beat.getZone()), Text(beat.getHost()), beat.getCapacity()});
+            {Text(beat.getZone()), Text(beat.getHost()), beat.getCapacity()},
+            now);
   const auto found = members_.find(name);
   if (found == members_.end()) {
     return;
   }
-  found->second.heard = core::clock::now();
+  found->second.life.OnHeard(now);
   for (const auto each : beat.getMembers()) {
     Introduce(Text(each.getInstance()),
-              {Text(each.getZone()), Text(each.getHost()), each.getCapacity()});
+              {Text(each.getZone()), Text(each.getHost()), each.getCapacity()},
+              now - core::milliseconds(each.getAgeMs()));
   }
   for (const auto each : beat.getLeaders()) {
     listener_.OnPeerLeader(name, {Text(each.getGroup()), Text(each.getServer()),
@@ -514,12 +513,19 @@
                                     Text(each.getServer()));
   }
   const instance_view own = listener_.View();
+  const bool same_list = beat.getListHash() == own.list_hash;
   const bool behind =
       beat.getConfigurationVersion() > own.configuration_version ||
-      (listener_.WantsList() && beat.getListVersion() > own.list_version);
+      (listener_.WantsList() && !same_list &&
+       beat.getListVersion() > own.list_version);
   if (behind) {
     Pull(found->second.place.host);
   }
+  if (same_list &&
+      beat.getConfigurationVersion() == own.configuration_version) {
+    listener_.OnStoreAge(core::milliseconds(beat.getStoreAgeMs()),
+                         beat.getListVersion());
+  }
 }
 
 void peer_exchange::implementation::Pull(const std::string& host) {
@@ -618,7 +624,7 @@
 
 void peer_exchange::Introduce(const std::string& instance,
                               const instance_place& place) {
-  implementation_->Introduce(instance, place);
+  implementation_->Introduce(instance, place, core::clock::now());
 }
 
 void peer_exchange::Pull(const std::string& host) {
@@ -638,8 +644,8 @@
   implementation_->AskForConnection(group, server);
 }
 
-bool peer_exchange::IsRelay() const {
-  return implementation_->IsRelay();
+bool peer_exchange::IsReader() const {
+  return implementation_->IsReader();
 }
 
 std::size_t peer_exchange::LivePeers() const {
--- a/plantaintiller/gateway/peer_exchange.h
+++ b/plantaintiller/gateway/peer_exchange.h
@@ -41,7 +41,11 @@
   std::uint64_t configuration_version = 0;
   /// Version of the store that the list of servers is of.
   std::uint64_t list_version = 0;
+  /// Equal for lists of the same servers.
+  std::uint64_t list_hash = 0;
   bool leaving = false;
+  /// Age of what it knows of the store, by reads of its own or of others.
+  core::milliseconds store_age{0};
   /// Leaders that changed lately; few.
   std::vector<leader_belief> leaders;
 };
@@ -69,6 +73,10 @@
   virtual void OnPeerLacksConnection(const std::string& group,
                                      const std::string& server) = 0;
   virtual void OnRemoteState(const remote_state& state) = 0;
+  /// Another instance, which knows the same as this one, has read the store, or
+  /// heard from one that has, that long ago. @param list_version of its list.
+  virtual void OnStoreAge(core::milliseconds age,
+                          std::uint64_t list_version) = 0;
   /// Whether lists of servers should come from peers, as the store is lost.
   virtual bool WantsList() const = 0;
 };
@@ -103,9 +111,9 @@
   /// Instances of this zone that may be alive, this one among them.
   /// @return empty in a small deployment.
   std::vector<forwarding::home_candidate> ZoneMembers() const;
-  /// Whether this instance passes news on in a large deployment; in a small one
-  /// all do.
-  bool IsRelay() const;
+  /// Whether this instance reads the store for others in a large deployment; in
+  /// a small one all read for themselves.
+  bool IsReader() const;
   /// Instances heard from lately, this one not counted.
   std::size_t LivePeers() const;
 
--- a/plantaintiller/gateway/relay_choice.cpp
+++ b/plantaintiller/gateway/relay_choice.cpp
@@ -1,7 +1,11 @@
 #include "plantaintiller/gateway/relay_choice.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdint>
 #include <map>
+#include <utility>
 
 namespace plantaintiller::gateway {
 
@@ -38,6 +42,26 @@
   return live.size() < small || IsAmong(Relays(self, live), self);
 }
 
+bool relay_choice::IsReader(const relay_candidate& self,
+                            const std::vector<relay_candidate>& live,
+                            std::size_t small) {
+  if (live.size() < small) {
+    return true;
+  }
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (const auto& [zone, names] : Relays(self, live)) {
+    for (const std::string& each : names) {
+      // By a hash, so that they lie in different zones.
+      ranked.emplace_back(XXH3_64bits(each.data(), each.size()), each);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  ranked.resize(std::min(ranked.size(), kReaders));
+  return std::any_of(ranked.begin(), ranked.end(), [&self](const auto& each) {
+    return each.second == self.name;
+  });
+}
+
 std::vector<std::string> relay_choice::Targets(
     const relay_candidate& self,
     const std::vector<relay_candidate>& live,
--- a/plantaintiller/gateway/relay_choice.h
+++ b/plantaintiller/gateway/relay_choice.h
@@ -18,8 +18,14 @@
   /// Instances of each availability zone that pass news on.
   static constexpr std::size_t kRelays = 2;
 
-  /// Whether an instance passes news on, and so has to follow the store itself.
-  /// Parameters as below.
+  /// Relays that read the store for all others.
+  static constexpr std::size_t kReaders = 4;
+
+  /// Whether an instance has to read the store for others. Parameters as below.
+  static bool IsReader(const relay_candidate& self,
+                       const std::vector<relay_candidate>& live,
+                       std::size_t small);
+  /// Whether an instance passes news on. Parameters as below.
   static bool IsRelay(const relay_candidate& self,
                       const std::vector<relay_candidate>& live,
                       std::size_t small);
--- a/plantaintiller/gateway/store_watch.cpp
+++ b/plantaintiller/gateway/store_watch.cpp
@@ -12,9 +12,6 @@
 /// Pause between reads of the list of servers: well inside the time in which a
 /// leaving server must get no more work, at an affordable number of calls.
 constexpr core::milliseconds kServerPause{1000};
-/// Longest pause of instances for which relays read: half of the time in which
-/// a leaving server must get no more work, if that is shorter.
-constexpr core::milliseconds kFollowerPause{8000};
 /// Least pause between reads out of turn.
 constexpr core::milliseconds kLeastPause{150};
 /// Pause after a failed call.
@@ -32,15 +29,13 @@
                          store::row_store& rows,
                          const directory_codec& codec,
                          event_log& log,
-                         core::milliseconds drain_limit,
                          store_watch_listener& listener)
     : rows_(rows),
       codec_(codec),
       log_(log),
       listener_(listener),
       route_timer_(context),
-      server_timer_(context),
-      follower_pause_(std::min(kFollowerPause, drain_limit / 2)) {}
+      server_timer_(context) {}
 
 void store_watch::Start() {
   ReadRoutes();
@@ -75,7 +70,10 @@
   if (answer.status != store::call_status::kDone) {
     route_version_ = 0;
     const bool at_once = answer.status == store::call_status::kHistoryGone;
-    route_timer_.expires_after(at_once ? kLeastPause : kFailurePause);
+    const core::time_point now = core::clock::now();
+    route_timer_.expires_at(
+        at_once ? now + kLeastPause
+                : std::max(now + kFailurePause, listener_.FollowsUntil()));
     route_timer_.async_wait([this](error_code cancelled) {
       if (!cancelled) {
         ReadRoutes();
@@ -109,33 +107,47 @@
     });
     return;
   }
-  if (listener_.IsFollower()) {
-    route_timer_.expires_after(follower_pause_);
-    route_timer_.async_wait([this](error_code cancelled) {
-      if (!cancelled) {
-        FollowRoutes();
-      }
-    });
+  ScheduleRoutes(core::clock::now());
+}
+
+void store_watch::ScheduleRoutes(core::time_point when) {
+  if (listener_.FollowsUntil() <= when) {
+    FollowRoutes();
     return;
   }
-  FollowRoutes();
+  route_timer_.expires_at(listener_.FollowsUntil());
+  route_timer_.async_wait([this](error_code cancelled) {
+    if (!cancelled) {
+      ScheduleRoutes(core::clock::now());
+    }
+  });
 }
 
 void store_watch::ReadServersSoon() {
   if (reading_servers_ || stopped_) {
     return;
   }
-  const core::duration since = core::clock::now() - last_read_;
-  ScheduleServers(since >= kLeastPause
-                      ? core::milliseconds(0)
-                      : core::ToMilliseconds(kLeastPause - since));
+  ScheduleServers(std::max(core::clock::now(), last_read_ + kLeastPause), true);
+}
+
+void store_watch::Adopt(const std::vector<replication::server_entry>& servers) {
+  known_.clear();
+  for (const replication::server_entry& each : servers) {
+    known_.emplace(each.id, each);
+  }
 }
 
-void store_watch::ScheduleServers(core::milliseconds pause) {
-  server_timer_.expires_after(pause);
-  server_timer_.async_wait([this](error_code cancelled) {
-    if (!cancelled && !reading_servers_) {
+void store_watch::ScheduleServers(core::time_point when, bool out_of_turn) {
+  server_timer_.expires_at(when);
+  server_timer_.async_wait([this, out_of_turn](error_code cancelled) {
+    if (cancelled || reading_servers_) {
+      return;
+    }
+    const core::time_point follows = listener_.FollowsUntil();
+    if (out_of_turn || follows <= core::clock::now()) {
       ReadServers("");
+    } else {
+      ScheduleServers(follows, false);
     }
   });
 }
@@ -158,7 +170,7 @@
   if (answer.status != store::call_status::kDone) {
     reading_servers_ = false;
     OnFailure();
-    ScheduleServers(kFailurePause);
+    ScheduleServers(core::clock::now() + kFailurePause, false);
     return;
   }
   std::string last;
@@ -192,7 +204,7 @@
     servers.push_back(entry);
   }
   listener_.OnServers(std::move(servers), answer.newest);
-  ScheduleServers(listener_.IsFollower() ? follower_pause_ : kServerPause);
+  ScheduleServers(now + kServerPause, false);
 }
 
 void store_watch::OnFailure() {
--- a/plantaintiller/gateway/store_watch.h
+++ b/plantaintiller/gateway/store_watch.h
@@ -21,9 +21,9 @@
   virtual ~store_watch_listener() = default;
   /// The operator's configuration, as text and decoded.
   virtual void OnRoutes(const std::string& text, core::route_table routes) = 0;
-  /// Whether others read the store for this instance, which then looks only now
-  /// and then.
-  virtual bool IsFollower() const = 0;
+  /// Until when the reads of others will do for this instance.
+  /// @return a time in the past if it has to read for itself.
+  virtual core::time_point FollowsUntil() const = 0;
   /// All usable servers, those kept over an outage included.
   /// @param version of the store that the list is of.
   virtual void OnServers(std::vector<replication::server_entry> servers,
@@ -34,19 +34,18 @@
 class store_watch {
  public:
   /// All references must outlive the watch.
-  /// @param drain_limit time after which a leaving server must get no more
-  /// work.
   store_watch(boost::asio::io_context& context,
               store::row_store& rows,
               const directory_codec& codec,
               event_log& log,
-              core::milliseconds drain_limit,
               store_watch_listener& listener);
 
   void Start();
   void Stop();
   /// Reads the list of servers soon, out of turn.
   void ReadServersSoon();
+  /// The list of another instance is in force.
+  void Adopt(const std::vector<replication::server_entry>& servers);
   /// Whether the last call for the list of servers failed.
   bool IsLost() const;
 
@@ -58,7 +57,8 @@
   void OnServerRows(const store::rows_answer& answer);
   void Publish();
   void OnFailure();
-  void ScheduleServers(core::milliseconds pause);
+  void ScheduleServers(core::time_point when, bool out_of_turn);
+  void ScheduleRoutes(core::time_point when);
 
   store::row_store& rows_;
   const directory_codec& codec_;
@@ -66,7 +66,6 @@
   store_watch_listener& listener_;
   boost::asio::steady_timer route_timer_;
   boost::asio::steady_timer server_timer_;
-  core::milliseconds follower_pause_;
   bool stopped_ = false;
   bool reading_servers_ = false;
   store::row_version route_version_ = 0;
--- a/plantaintiller/instances/heartbeat.capnp
+++ b/plantaintiller/instances/heartbeat.capnp
@@ -21,6 +21,10 @@
   members @9 :List(Member);
   # Processor share of the sender, in thousandths of a core.
   capacity @10 :UInt32;
+  # Age of what the sender knows of the store, in milliseconds.
+  storeAgeMs @11 :UInt32;
+  # Tells lists of the same servers apart from others.
+  listHash @12 :UInt64;
 }
 
 struct Leader {
@@ -41,6 +45,8 @@
   zone @1 :Text;
   host @2 :Text;
   capacity @3 :UInt32;
+  # Time since somebody heard from it.
+  ageMs @4 :UInt32;
 }
 
 # A request for what the sender's versions show to be newer.
--- a/plantaintiller/instances/heartbeat.capnp.h
+++ b/plantaintiller/instances/heartbeat.capnp.h
@@ -39,7 +39,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c07624352457e6d0, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c07624352457e6d0, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -183,6 +183,10 @@
 
   inline  ::uint32_t getCapacity() const;
 
+  inline  ::uint32_t getStoreAgeMs() const;
+
+  inline  ::uint64_t getListHash() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -268,6 +272,12 @@
   inline  ::uint32_t getCapacity();
   inline void setCapacity( ::uint32_t value);
 
+  inline  ::uint32_t getStoreAgeMs();
+  inline void setStoreAgeMs( ::uint32_t value);
+
+  inline  ::uint64_t getListHash();
+  inline void setListHash( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -514,6 +524,8 @@
 
   inline  ::uint32_t getCapacity() const;
 
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -566,6 +578,9 @@
   inline  ::uint32_t getCapacity();
   inline void setCapacity( ::uint32_t value);
 
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1176,6 +1191,34 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Heartbeat::Reader::getStoreAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Heartbeat::Builder::getStoreAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setStoreAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getListHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getListHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setListHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Leader::Reader::hasGroup() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1456,6 +1499,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Member::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StateRequest::Reader::getConfigurationVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -1,10 +1,23 @@
 #include "plantaintiller/replication/group_state.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace plantaintiller::replication {
 
+std::uint64_t HashOf(const std::vector<server_entry>& servers) {
+  std::string text;
+  for (const server_entry& each : servers) {
+    text += each.id + ' ' + each.group + ' ' + each.address + ' ' + each.zone;
+    text += ' ' + std::to_string(each.slots) + (each.draining ? " d" : " -");
+    text += (each.reports_leader ? " l " : " - ");
+    text += std::to_string(each.born_ms) + '\n';
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
 core::duration RoundTrip(distance away) {
   // Close to those of both users' sites.
   switch (away) {
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -28,6 +28,9 @@
   friend bool operator==(const server_entry&, const server_entry&) = default;
 };
 
+/// A number that is equal for equal lists, on all instances.
+std::uint64_t HashOf(const std::vector<server_entry>& servers);
+
 /// How far an availability zone is from this instance.
 enum class distance : std::uint8_t { kSameZone, kSameRegion, kOtherRegion };
 
--- a/tests/gateway/relay_choice_test.cpp
+++ b/tests/gateway/relay_choice_test.cpp
@@ -71,4 +71,28 @@
   CHECK(reached.size() == all.size());
 }
 
+TEST_CASE("relay_choice: a few relays in several zones read the store") {
+  for (const int instances : {30, 85, 300, 1900}) {
+    const std::vector<relay_candidate> all = Deployment(instances, 6);
+    std::set<std::string> readers;
+    std::set<std::string> zones;
+    for (const relay_candidate& self : all) {
+      std::vector<relay_candidate> others;
+      for (const relay_candidate& each : all) {
+        if (each.name != self.name) {
+          others.push_back(each);
+        }
+      }
+      if (relay_choice::IsReader(self, others, 16)) {
+        CHECK(relay_choice::IsRelay(self, others, 16));
+        readers.insert(self.name);
+        zones.insert(self.zone);
+      }
+    }
+    CHECK(readers.size() == relay_choice::kReaders);
+    CHECK(zones.size() >= 2);
+  }
+  CHECK(relay_choice::IsReader({"a", "z", "h"}, {}, 16));
+}
+
 }  // namespace plantaintiller::gateway
