A promotion without an answer is barred by a higher token; others held all the while

Cause: a call without an answer was repeated under the same token, so that the lost one, carried out seconds later, was still accepted; its candidate may have restarted empty. The model waited 1,000 ms for the answer where the product waits 300: now one constant. Ruled out, tried and reverted: barring late calls first by a promotion of the present leader under the new token. Change: the next call is made under a newly claimed token; servers are held again with each question whether the candidate leads (30 ms, before 120 ms).

--- a/plantaintiller/model/change_world.h
+++ b/plantaintiller/model/change_world.h
@@ -33,6 +33,9 @@
   std::vector<std::string> violations;
   /// What was done to the world, in order.
   std::vector<std::string> faults;
+  /// Faults, the steps of changes, holds, promotions and servers that return,
+  /// with their times.
+  std::vector<std::string> trace;
   int promotions = 0;
   int acknowledged = 0;
   /// Longest time between two acknowledged commits.
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -194,6 +194,8 @@
   bool HasAllOf(const std::string& missing, core::log_position candidate) const;
   /// Whether the candidate has what the leader may have acknowledged.
   bool HasAllThatLeaderHad(core::log_position candidate) const;
+  /// Claims a higher token, as a call under this one has no answer.
+  void ClaimAnew(const char* why);
   void Promote();
   void OnPromoted(store::promotion_status status);
   void HoldOthers();
--- a/plantaintiller/store/row_store.h
+++ b/plantaintiller/store/row_store.h
@@ -94,6 +94,11 @@
   kUnknown,
 };
 
+/// Longest wait for the answer to a promotion: several round trips between
+/// regions. A call without an answer may be carried out later, so that it is to
+/// be barred by a higher token soon.
+inline constexpr core::milliseconds kPromotionPatience{300};
+
 /// The platform's service that makes a server the leader of its group.
 class promotion_service {
  public:
