--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -57,6 +57,9 @@
 /// Most connections to one server that are opened ahead of need: with the homes
 /// of all zones they carry the reads of a usual second.
 constexpr int kMostWarm = 3;
+/// Least share of a server's connections at which some are opened ahead of need:
+/// two for callers beside two kept ones.
+constexpr int kWarmShare = 4;
 
 /// A database group with the connections to its servers.
 struct group_entry {
@@ -506,9 +509,10 @@
   }
   // Half of the share: servers count the connections of a lost instance beside
   // those of its successor for a while.
-  made.kept =
-      std::max(1, group.max_connections / static_cast<int>(sharers) / 2);
-  made.warm = std::min(made.kept, kMostWarm);
+  const int share = group.max_connections / static_cast<int>(sharers);
+  made.kept = std::max(1, share / 2);
+  // With a small share the successor needs all of it where its callers are.
+  made.warm = share >= kWarmShare ? std::min(made.kept, kMostWarm) : 0;
   return made;
 }
 
