Refused in a quarter of the objective where servers are full; lagging replicas not asked

Cause: with replicas behind, all reads of a group fall to two or three slots. Ruled out: waiting longer. What is then answered is late already and takes the slots of those who could be in time. Change: where every server that could run it is full, a request is refused after a quarter of its objective, and told when to come back; where connections are missing it has the whole. A replica that lacked a position is not asked for it again for 250 ms.

--- a/plantaintiller/gateway/connection_pool.h
+++ b/plantaintiller/gateway/connection_pool.h
@@ -137,6 +137,9 @@
   void NoteOpen(const std::string& server);
   void ArmTrim();
   void Trim();
+  /// Whether some of a server's connections may be closed when idle.
+  bool IsExcess(const server_links& links) const;
+  core::milliseconds IdleLimit(const server_links& links) const;
 
   boost::asio::io_context& context_;
   sessions::server_codec& codec_;
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -57,8 +57,8 @@
 /// Most connections to one server that are opened ahead of need: with the homes
 /// of all zones they carry the reads of a usual second.
 constexpr int kMostWarm = 3;
-/// Least share of a server's connections at which some are opened ahead of need:
-/// two for callers beside two kept ones.
+/// Least share of a server's connections at which some are opened ahead of
+/// need: two for callers beside two kept ones.
 constexpr int kWarmShare = 4;
 
 /// A database group with the connections to its servers.
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -52,6 +52,9 @@
     bool connected = false;
     /// Not chosen for reads before this time, unless nothing else is left.
     core::time_point avoid_until;
+    /// Position that its log lacked when it was asked last, and when.
+    core::log_position lacked;
+    core::time_point lacked_at;
     /// Failures in a row without a success between.
     int failures = 0;
     /// When the first of them was sent.
@@ -88,7 +91,10 @@
   /// A server refused what only the leader runs.
   void OnNotLeader(const std::string& server, core::time_point now);
   /// A replica's log was too short for a read.
-  void OnLagging(const std::string& server, core::time_point now);
+  /// @param position that it was asked for.
+  void OnLagging(const std::string& server,
+                 core::log_position position,
+                 core::time_point now);
   /// A server answered.
   void OnSuccess(const std::string& server);
   /// A server got work and did not answer, or could not be reached.
@@ -126,9 +132,16 @@
   /// Since when a server is known to be gone. @return nothing if it is not.
   std::optional<core::time_point> GoneSince(const std::string& server) const;
   /// Servers in the order in which a read should try them.
-  /// @param excluded servers that the read has tried.
-  std::vector<std::string> ReadOrder(const std::vector<std::string>& excluded,
-                                     core::time_point now) const;
+  /// Servers that lacked the position a moment ago are left out.
+  /// @param excluded servers that the read has tried; @param needed position
+  /// that the server must have.
+  std::vector<std::string> ReadOrder(
+      const std::vector<std::string>& excluded,
+      core::time_point now,
+      std::optional<core::log_position> needed = std::nullopt) const;
+  /// Whether no server of a list may be sent another statement now.
+  bool AreSaturated(const std::vector<std::string>& servers,
+                    core::time_point now) const;
 
   /// Whether a server may be sent new work: not once it has been leaving for
   /// too long, even if no other leads yet.
@@ -138,8 +151,9 @@
   server* Find(const std::string& id);
 
  private:
-  /// A replica that lagged is likely to lag again this soon; about the time of
-  /// one heartbeat of routing samples.
+  /// A replica that lacked a position is not asked for it, or a later one, for
+  /// this long: several times the users' usual lag, so that a few reads a
+  /// second find out when it has caught up.
   static constexpr core::milliseconds kLagPause{250};
   /// Pause after a failure, doubled with each further one up to 8 times.
   static constexpr core::milliseconds kTroublePause{100};
--- a/plantaintiller/sessions/server_connection.h
+++ b/plantaintiller/sessions/server_connection.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "plantaintiller/core/log_position.h"
 #include "plantaintiller/core/time.h"
 #include "plantaintiller/sessions/statement.h"
 
@@ -63,6 +65,8 @@
   bool leader = false;
   /// Whether a transaction will hold the connection.
   bool transaction = false;
+  /// Position that the server must have; nothing if any will do.
+  std::optional<core::log_position> position;
   /// Servers that were tried in vain.
   std::vector<std::string> excluded;
   int priority = 0;
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -28,6 +28,13 @@
   /// How long a group may be without a leader before requests that need one are
   /// refused at once: a change of primary with one repetition.
   core::milliseconds leader_patience{3000};
+  /// Part of the latency objective after which a request is refused if all
+  /// servers that could run it have as much as they can take: the caller may
+  /// then come back twice and still be answered within the objective.
+  int overload_share = 4;
+  /// When to come back to a group without a leader that answers: half of a
+  /// usual change of primary on the users' databases.
+  core::milliseconds change_pause{500};
   /// Tries of one statement.
   int max_attempts = 8;
 };
@@ -112,6 +119,9 @@
   bool AwaitsLeader() const;
   /// For how long the group has had no leader that answers.
   core::duration LeaderTrouble() const;
+  /// Whether every server that could run the request has as much as it can
+  /// take.
+  bool IsOverloaded() const;
   /// Until when the request waits for a connection.
   core::time_point PatienceEnd() const;
   std::optional<core::log_position> PositionForRead() const;
@@ -135,6 +145,8 @@
   void OnRunningTimeout();
   void GiveUp(failure_code code, const char* reason);
   void FailTransaction(const char* reason);
+  /// The reason of a refusal, and when to come back.
+  std::string WithRetryAfter(const char* reason) const;
   void Finish(failure_code code, const std::string& text, session_state state);
   void FinishSuccess(const server_reply& reply, session_state state);
   void Settle();
@@ -172,6 +184,8 @@
   bool begin_failed_ = false;
   failure_code begin_failure_ = failure_code::kOther;
   std::optional<core::log_position> proved_;
+  /// Position that the last statement asked for.
+  std::optional<core::log_position> asked_position_;
   const char* last_reason_ = "no_server";
 };
 
--- a/tests/platform/session_lines_test.cpp
+++ b/tests/platform/session_lines_test.cpp
@@ -253,9 +253,15 @@
 TEST_CASE("a statement that finds no server is refused as not run") {
   session_fixture session("primary");
   session.Say("QUERY 1 WRITE k v");
+  const core::time_point arrived = session.host.now;
+  // A quarter into the objective it looks whether the servers are full.
+  session.host.now = *session.host.timer;
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().empty());
   session.host.now = *session.host.timer;
   session.engine.OnTimer();
   CHECK(session.host.TakeReplies().starts_with("ERROR BUSY"));
+  CHECK(session.host.now == arrived + milliseconds(1000));
 }
 
 TEST_CASE("without a leader a request waits for a change, then is refused") {
@@ -306,4 +312,46 @@
   CHECK(leader.left == leave_kind::kRollBack);
 }
 
+// The pattern: replicas lag and the leader has as much as it can take. Whoever
+// waited for the whole objective came back too late to be answered within it.
+TEST_CASE("a request that waits for a full server is refused in a quarter") {
+  session_fixture session("primary");
+  replication::statement_gate& gate = session.host.group.Find("a")->gate;
+  while (gate.MayStart(session.host.now)) {
+    gate.OnStart();
+  }
+  session.Say("QUERY 1 READ a");
+  CHECK(session.host.timer == session.host.now + milliseconds(250));
+  session.Pass(milliseconds(250));
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().starts_with("ERROR BUSY "));
+}
+
+TEST_CASE("a request that waits for a connection has the whole objective") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 READ a");
+  session.Pass(milliseconds(250));
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().empty());
+  CHECK(session.host.timer == session.host.now + milliseconds(750));
+  session.Pass(milliseconds(750));
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().starts_with("ERROR BUSY "));
+}
+
+TEST_CASE("a refusal that has not run tells when to come back") {
+  session_fixture session("primary");
+  session.Say("QUERY 1 READ a");
+  session.Pass(milliseconds(1000));
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().starts_with(
+      "ERROR BUSY no_server retry-after-ms=250\r\n"));
+  session.host.group.OnNotLeader("a", session.host.now);
+  session.Pass(milliseconds(3100));
+  session.Say("QUERY 2 READ a");
+  session.engine.OnTimer();
+  CHECK(session.host.TakeReplies().starts_with(
+      "ERROR BUSY no_server retry-after-ms=500\r\n"));
+}
+
 }  // namespace plantaintiller::sessions
