--- a/plantaintiller/instances/forwarding.capnp.h
+++ b/plantaintiller/instances/forwarding.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -19,7 +19,7 @@
 CAPNP_DECLARE_SCHEMA(874b36c02b64b5a3);
 CAPNP_DECLARE_SCHEMA(9bd581879dc7bf08);
 CAPNP_DECLARE_SCHEMA(bc9eb2ff6e7eadf1);
-enum class Kind_bc9eb2ff6e7eadf1: uint16_t {
+enum class Kind_bc9eb2ff6e7eadf1 : uint16_t {
   OPEN,
   DATA,
   GONE,
@@ -45,9 +45,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(874b36c02b64b5a3, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -59,23 +61,24 @@
   class Pipeline;
   typedef ::capnp::schemas::Kind_bc9eb2ff6e7eadf1 Kind;
 
-
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9bd581879dc7bf08, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class FrameBatch::Reader {
-public:
+ public:
   typedef FrameBatch Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -87,14 +90,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getConfigurationVersion() const;
+  inline ::uint64_t getConfigurationVersion() const;
 
   inline bool getPing() const;
 
   inline bool hasFrames() const;
-  inline  ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Reader getFrames() const;
+  inline ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                       ::capnp::Kind::STRUCT>::Reader
+  getFrames() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -107,35 +112,51 @@
 };
 
 class FrameBatch::Builder {
-public:
+ public:
   typedef FrameBatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getConfigurationVersion();
-  inline void setConfigurationVersion( ::uint64_t value);
+  inline ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion(::uint64_t value);
 
   inline bool getPing();
   inline void setPing(bool value);
 
   inline bool hasFrames();
-  inline  ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Builder getFrames();
-  inline void setFrames( ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Builder initFrames(unsigned int size);
-  inline void adoptFrames(::capnp::Orphan< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>> disownFrames();
-
-private:
+  inline ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                       ::capnp::Kind::STRUCT>::Builder
+  getFrames();
+  inline void setFrames(
+      ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                    ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                       ::capnp::Kind::STRUCT>::Builder
+  initFrames(unsigned int size);
+  inline void adoptFrames(
+      ::capnp::Orphan<
+          ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                        ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                    ::capnp::Kind::STRUCT>>
+  disownFrames();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -146,14 +167,14 @@
 
 #if !CAPNP_LITE
 class FrameBatch::Pipeline {
-public:
+ public:
   typedef FrameBatch Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -162,11 +183,11 @@
 #endif  // !CAPNP_LITE
 
 class SessionFrame::Reader {
-public:
+ public:
   typedef SessionFrame Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -178,18 +199,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession() const;
+  inline ::uint64_t getSession() const;
 
-  inline  ::plantaintiller::instances::wire::SessionFrame::Kind getKind() const;
+  inline ::plantaintiller::instances::wire::SessionFrame::Kind getKind() const;
 
   inline bool hasBytes() const;
-  inline  ::capnp::Data::Reader getBytes() const;
+  inline ::capnp::Data::Reader getBytes() const;
 
-  inline  ::uint64_t getSettled() const;
+  inline ::uint64_t getSettled() const;
 
   inline bool getInTransaction() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -202,41 +223,46 @@
 };
 
 class SessionFrame::Builder {
-public:
+ public:
   typedef SessionFrame Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSession();
-  inline void setSession( ::uint64_t value);
+  inline ::uint64_t getSession();
+  inline void setSession(::uint64_t value);
 
-  inline  ::plantaintiller::instances::wire::SessionFrame::Kind getKind();
-  inline void setKind( ::plantaintiller::instances::wire::SessionFrame::Kind value);
+  inline ::plantaintiller::instances::wire::SessionFrame::Kind getKind();
+  inline void setKind(
+      ::plantaintiller::instances::wire::SessionFrame::Kind value);
 
   inline bool hasBytes();
-  inline  ::capnp::Data::Builder getBytes();
-  inline void setBytes( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBytes(unsigned int size);
-  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+  inline ::capnp::Data::Builder getBytes();
+  inline void setBytes(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBytes();
 
-  inline  ::uint64_t getSettled();
-  inline void setSettled( ::uint64_t value);
+  inline ::uint64_t getSettled();
+  inline void setSettled(::uint64_t value);
 
   inline bool getInTransaction();
   inline void setInTransaction(bool value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -247,14 +273,14 @@
 
 #if !CAPNP_LITE
 class SessionFrame::Pipeline {
-public:
+ public:
   typedef SessionFrame Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -264,161 +290,190 @@
 
 // =======================================================================================
 
-inline  ::uint64_t FrameBatch::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t FrameBatch::Reader::getConfigurationVersion() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FrameBatch::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t FrameBatch::Builder::getConfigurationVersion() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void FrameBatch::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void FrameBatch::Builder::setConfigurationVersion(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool FrameBatch::Reader::getPing() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool FrameBatch::Builder::getPing() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<64>() *
+                                     ::capnp::ELEMENTS);
 }
 inline void FrameBatch::Builder::setPing(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
+                              value);
 }
 
 inline bool FrameBatch::Reader::hasFrames() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool FrameBatch::Builder::hasFrames() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Reader FrameBatch::Reader::getFrames() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Builder FrameBatch::Builder::getFrames() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FrameBatch::Builder::setFrames( ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>::Builder FrameBatch::Builder::initFrames(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                     ::capnp::Kind::STRUCT>::Reader
+FrameBatch::Reader::getFrames() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::plantaintiller::instances::wire::SessionFrame, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                     ::capnp::Kind::STRUCT>::Builder
+FrameBatch::Builder::getFrames() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::plantaintiller::instances::wire::SessionFrame, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FrameBatch::Builder::setFrames(
+    ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::plantaintiller::instances::wire::SessionFrame, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                     ::capnp::Kind::STRUCT>::Builder
+FrameBatch::Builder::initFrames(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::plantaintiller::instances::wire::SessionFrame, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+           size);
 }
 inline void FrameBatch::Builder::adoptFrames(
-    ::capnp::Orphan< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>> FrameBatch::Builder::disownFrames() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::plantaintiller::instances::wire::SessionFrame,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t SessionFrame::Reader::getSession() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SessionFrame::Builder::getSession() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SessionFrame::Builder::setSession( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::plantaintiller::instances::wire::SessionFrame::Kind SessionFrame::Reader::getKind() const {
-  return _reader.getDataField< ::plantaintiller::instances::wire::SessionFrame::Kind>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::plantaintiller::instances::wire::SessionFrame::Kind SessionFrame::Builder::getKind() {
-  return _builder.getDataField< ::plantaintiller::instances::wire::SessionFrame::Kind>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void SessionFrame::Builder::setKind( ::plantaintiller::instances::wire::SessionFrame::Kind value) {
-  _builder.setDataField< ::plantaintiller::instances::wire::SessionFrame::Kind>(
+    ::capnp::Orphan<
+        ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                      ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::plantaintiller::instances::wire::SessionFrame, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::plantaintiller::instances::wire::SessionFrame,
+                  ::capnp::Kind::STRUCT>>
+FrameBatch::Builder::disownFrames() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::plantaintiller::instances::wire::SessionFrame, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t SessionFrame::Reader::getSession() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t SessionFrame::Builder::getSession() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void SessionFrame::Builder::setSession(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::plantaintiller::instances::wire::SessionFrame::Kind
+SessionFrame::Reader::getKind() const {
+  return _reader
+      .getDataField<::plantaintiller::instances::wire::SessionFrame::Kind>(
+          ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::plantaintiller::instances::wire::SessionFrame::Kind
+SessionFrame::Builder::getKind() {
+  return _builder
+      .getDataField<::plantaintiller::instances::wire::SessionFrame::Kind>(
+          ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SessionFrame::Builder::setKind(
+    ::plantaintiller::instances::wire::SessionFrame::Kind value) {
+  _builder.setDataField<::plantaintiller::instances::wire::SessionFrame::Kind>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SessionFrame::Reader::hasBytes() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool SessionFrame::Builder::hasBytes() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Data::Reader SessionFrame::Reader::getBytes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader SessionFrame::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder SessionFrame::Builder::getBytes() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder SessionFrame::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SessionFrame::Builder::setBytes( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SessionFrame::Builder::setBytes(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Data::Builder SessionFrame::Builder::initBytes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder SessionFrame::Builder::initBytes(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
 inline void SessionFrame::Builder::adoptBytes(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> SessionFrame::Builder::disownBytes() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> SessionFrame::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SessionFrame::Reader::getSettled() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t SessionFrame::Reader::getSettled() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SessionFrame::Builder::getSettled() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t SessionFrame::Builder::getSettled() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void SessionFrame::Builder::setSettled( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SessionFrame::Builder::setSettled(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool SessionFrame::Reader::getInTransaction() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 
 inline bool SessionFrame::Builder::getInTransaction() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<80>() *
+                                     ::capnp::ELEMENTS);
 }
 inline void SessionFrame::Builder::setInTransaction(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<80>() * ::capnp::ELEMENTS,
+                              value);
 }
 
-}  // namespace
-}  // namespace
-}  // namespace
+}  // namespace wire
+}  // namespace instances
+}  // namespace plantaintiller
 
 CAPNP_END_HEADER
-
