--- a/plantaintiller/forwarding/frame_codec.cpp
+++ b/plantaintiller/forwarding/frame_codec.cpp
@@ -7,6 +7,7 @@
 #include <cstring>
 
 #include "plantaintiller/instances/forwarding.capnp.h"
+#include "plantaintiller/instances/message_framing.h"
 
 namespace plantaintiller::forwarding {
 
@@ -96,13 +97,7 @@
     frames[n].setSettled(each.settled);
     frames[n].setInTransaction(each.in_transaction);
   }
-  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
-  const auto size = static_cast<std::uint32_t>(bytes.size());
-  std::array<char, sizeof(size)> length{};
-  std::memcpy(length.data(), &size, sizeof(size));
-  out.append(length.data(), length.size());
-  out.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  instances::AppendFramed(out, message);
 }
 
 batch_state TakeBatch(std::string& buffer, frame_batch& batch) {
@@ -117,9 +112,7 @@
   if (buffer.size() < sizeof(size) + size) {
     return batch_state::kIncomplete;
   }
-  // Copied to where words may be read.
-  auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
-  std::memcpy(words.begin(), buffer.data() + sizeof(size), size);
+  const auto words = instances::CopyWords(buffer.data() + sizeof(size), size);
   buffer.erase(0, sizeof(size) + size);
   try {
     capnp::FlatArrayMessageReader reader(words);
--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -89,7 +89,12 @@
 void connection_pool::SetLimits(const limits& given) {
   limits_ = given;
   KeepWarm();
-  ArmTrim();
+  const bool excess =
+      std::any_of(servers_.begin(), servers_.end(),
+                  [this](const auto& each) { return IsExcess(each.second); });
+  if (excess) {
+    ArmTrim();
+  }
 }
 
 void connection_pool::KeepWarm() {
@@ -119,7 +124,6 @@
       each->Close();
     }
   }
-  KeepWarm();
   Schedule();
 }
 
--- /dev/null
+++ b/plantaintiller/gateway/connection_share.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+
+#include "plantaintiller/gateway/connection_pool.h"
+
+namespace plantaintiller::gateway {
+
+/// What one instance keeps of the connections that a server accepts from all.
+class connection_share {
+ public:
+  /// @param most connections that the server accepts; @param sharers instances
+  /// that serve its group, this one among them; nothing while the others are
+  /// not known.
+  static connection_pool::limits Of(int most,
+                                    std::optional<std::size_t> sharers);
+};
+
+}  // namespace plantaintiller::gateway
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 #include "plantaintiller/gateway/caller_connection.h"
 #include "plantaintiller/gateway/caller_session.h"
 #include "plantaintiller/gateway/connection_pool.h"
+#include "plantaintiller/gateway/connection_share.h"
 #include "plantaintiller/gateway/event_log.h"
 #include "plantaintiller/gateway/instance_registry.h"
 #include "plantaintiller/gateway/leader_keeper.h"
@@ -54,12 +55,6 @@
 constexpr core::milliseconds kStoreTrust{4000};
 /// Oldest knowledge of the store that is told as a number.
 constexpr core::milliseconds kMostStoreAge{3600000};
-/// Most connections to one server that are opened ahead of need: with the homes
-/// of all zones they carry the reads of a usual second.
-constexpr int kMostWarm = 3;
-/// Least share of a server's connections at which some are opened ahead of
-/// need: two for callers beside two kept ones.
-constexpr int kWarmShare = 4;
 
 /// A database group with the connections to its servers.
 struct group_entry {
@@ -80,6 +75,7 @@
                                 public store_watch_listener,
                                 public peer_listener,
                                 public leader_keeper_listener,
+                                public instance_registry_listener,
                                 public forwarding::forwarder_host,
                                 public forwarding::guest_host,
                                 public http::handler {
@@ -97,7 +93,7 @@
         stop_timer_(context),
         watch_(context, peers.rows, peers.directory, log_, *this),
         exchange_(context, settings, log_, *this),
-        registry_(context, settings, peers.rows, exchange_),
+        registry_(context, settings, peers.rows, exchange_, *this),
         forwarder_(context, ForwarderSettings(settings), *this, log_),
         guests_(context, *this, log_),
         keeper_(
@@ -167,6 +163,9 @@
   // leader_keeper_listener
   void OnLeaderChange(const std::string& group) override;
 
+  // instance_registry_listener
+  void OnInstancesRead() override { ShareConnections(); }
+
   // forwarding::forwarder_host and forwarding::guest_host
   std::vector<forwarding::home_candidate> HomeCandidates() const override {
     return exchange_.ZoneMembers();
@@ -223,8 +222,19 @@
                     store::row_version version);
   void TakeList(std::vector<replication::server_entry> servers,
                 store::row_version version);
+  /// Instances that share the servers' connections.
+  struct sharers {
+    /// Of this zone, in a large deployment; empty in a small one.
+    std::vector<forwarding::home_candidate> zone;
+    std::size_t count = 1;
+  };
+  /// @return nothing while the other instances are not known.
+  std::optional<sharers> Sharers() const;
+  /// Gives each group's pool its part of the servers' connections.
+  void ShareConnections();
   connection_pool::limits ConnectionLimits(
-      const core::group_settings& group) const;
+      const core::group_settings& group,
+      const std::optional<sharers>& among) const;
   http::response OperatorAnswer(const std::string& target);
   void ListenForCallers();
   void ListenForOperators();
@@ -461,9 +471,7 @@
   routes_text_ = text;
   exchange_.Announce();
   guests_.OnConfiguration();
-  for (const auto& [name, group] : routes_.groups) {
-    EnsureGroup(name).pool.SetLimits(ConnectionLimits(group));
-  }
+  ShareConnections();
   ListenForCallers();
 }
 
@@ -493,27 +501,45 @@
   list_version_ = std::max(list_version_, list_version);
 }
 
+void gateway::implementation::ShareConnections() {
+  const std::optional<sharers> among = Sharers();
+  for (const auto& [name, group] : routes_.groups) {
+    EnsureGroup(name).pool.SetLimits(ConnectionLimits(group, among));
+  }
+}
+
+std::optional<gateway::implementation::sharers>
+gateway::implementation::Sharers() const {
+  if (!registry_.IsRead()) {
+    return std::nullopt;
+  }
+  sharers made;
+  made.zone = exchange_.ZoneMembers();
+  made.count = made.zone.empty()
+                   ? exchange_.LivePeers() + 1
+                   : std::max<std::size_t>(1, settings_.regions.size());
+  return made;
+}
+
 connection_pool::limits gateway::implementation::ConnectionLimits(
-    const core::group_settings& group) const {
-  connection_pool::limits made;
-  made.most = group.max_connections;
-  const std::vector<forwarding::home_candidate> zone = exchange_.ZoneMembers();
-  std::size_t sharers = exchange_.LivePeers() + 1;
-  if (!zone.empty()) {
+    const core::group_settings& group,
+    const std::optional<sharers>& among) const {
+  if (!among.has_value()) {
+    return connection_share::Of(group.max_connections, std::nullopt);
+  }
+  if (!among->zone.empty()) {
     const std::string home =
-        forwarding::home_choice::Order(group.name, zone).front().instance;
+        forwarding::home_choice::Order(group.name, among->zone)
+            .front()
+            .instance;
     if (home != settings_.instance) {
-      return made;
+      // What it opens for questions to servers is closed when idle.
+      connection_pool::limits none;
+      none.most = group.max_connections;
+      return none;
     }
-    sharers = std::max<std::size_t>(1, settings_.regions.size());
-  }
-  // Half of the share: servers count the connections of a lost instance beside
-  // those of its successor for a while.
-  const int share = group.max_connections / static_cast<int>(sharers);
-  made.kept = std::max(1, share / 2);
-  // With a small share the successor needs all of it where its callers are.
-  made.warm = share >= kWarmShare ? std::min(made.kept, kMostWarm) : 0;
-  return made;
+  }
+  return connection_share::Of(group.max_connections, among->count);
 }
 
 void gateway::implementation::ApplyServers(
@@ -534,13 +560,10 @@
           .With("before", before)
           .With("store_version", static_cast<std::int64_t>(version));
     }
-    const auto limits = routes_.groups.find(name);
-    if (limits != routes_.groups.end()) {
-      group->pool.SetLimits(ConnectionLimits(limits->second));
-    }
     group->pool.OnGroupChanged();
     keeper_.Evaluate(name);
   }
+  ShareConnections();
   servers_known_ = true;
   ListenForCallers();
 }
@@ -552,7 +575,6 @@
   view.list_hash = list_hash_;
   view.store_age = std::min(
       kMostStoreAge, core::ToMilliseconds(core::clock::now() - store_known_));
-  view.leaving = stopping_;
   const core::time_point now = core::clock::now();
   for (const auto& [name, group] : groups_) {
     const auto news = leader_news_.find(name);
--- a/plantaintiller/gateway/instance_registry.cpp
+++ b/plantaintiller/gateway/instance_registry.cpp
@@ -15,8 +15,13 @@
 instance_registry::instance_registry(boost::asio::io_context& context,
                                      const gateway_settings& settings,
                                      store::row_store& rows,
-                                     peer_exchange& peers)
-    : settings_(settings), rows_(rows), peers_(peers), timer_(context) {}
+                                     peer_exchange& peers,
+                                     instance_registry_listener& listener)
+    : settings_(settings),
+      rows_(rows),
+      peers_(peers),
+      listener_(listener),
+      timer_(context) {}
 
 void instance_registry::Start() {
   Enter();
@@ -61,6 +66,9 @@
     }
     if (answer.truncated && !answer.rows.empty()) {
       Read(answer.rows.back().key + "%01");
+    } else {
+      read_ = true;
+      listener_.OnInstancesRead();
     }
   });
 }
--- a/plantaintiller/gateway/instance_registry.h
+++ b/plantaintiller/gateway/instance_registry.h
@@ -10,6 +10,13 @@
 
 namespace plantaintiller::gateway {
 
+/// Told when the other instances are known.
+class instance_registry_listener {
+ public:
+  virtual ~instance_registry_listener() = default;
+  virtual void OnInstancesRead() = 0;
+};
+
 /// Enters this instance into the store and introduces those found there. Each
 /// instance writes before it reads, so that of two that start together at least
 /// one finds the other; heartbeats do the rest.
@@ -19,11 +26,14 @@
   instance_registry(boost::asio::io_context& context,
                     const gateway_settings& settings,
                     store::row_store& rows,
-                    peer_exchange& peers);
+                    peer_exchange& peers,
+                    instance_registry_listener& listener);
 
   /// Starts; tries again until the store has answered.
   void Start();
   void Stop();
+  /// Whether the other instances that the store names were read.
+  bool IsRead() const { return read_; }
 
  private:
   void Enter();
@@ -33,8 +43,10 @@
   const gateway_settings& settings_;
   store::row_store& rows_;
   peer_exchange& peers_;
+  instance_registry_listener& listener_;
   boost::asio::steady_timer timer_;
   bool stopped_ = false;
+  bool read_ = false;
 };
 
 }  // namespace plantaintiller::gateway
--- a/plantaintiller/gateway/peer_exchange.cpp
+++ b/plantaintiller/gateway/peer_exchange.cpp
@@ -21,6 +21,7 @@
 #include "plantaintiller/gateway/relay_choice.h"
 #include "plantaintiller/gateway/socket_options.h"
 #include "plantaintiller/instances/heartbeat.capnp.h"
+#include "plantaintiller/instances/message_framing.h"
 
 namespace plantaintiller::gateway {
 
@@ -62,22 +63,11 @@
 }
 
 std::string Frame(capnp::MessageBuilder& message) {
-  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
-  const auto size = static_cast<std::uint32_t>(bytes.size());
-  std::string out(sizeof(size), '\0');
-  std::memcpy(out.data(), &size, sizeof(size));
-  out.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  std::string out;
+  instances::AppendFramed(out, message);
   return out;
 }
 
-/// Copies bytes to where words may be read.
-kj::Array<capnp::word> Words(const char* data, std::size_t size) {
-  auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
-  std::memcpy(words.begin(), data, words.size() * sizeof(capnp::word));
-  return words;
-}
-
 std::string EncodeState(const remote_state& state) {
   capnp::MallocMessageBuilder message;
   auto answer = message.initRoot<wire::StateAnswer>();
@@ -100,7 +90,7 @@
 }
 
 remote_state DecodeState(const std::string& bytes) {
-  const auto words = Words(bytes.data(), bytes.size());
+  const auto words = instances::CopyWords(bytes.data(), bytes.size());
   capnp::ReaderOptions options;
   options.traversalLimitInWords = kTraversalWords;
   capnp::FlatArrayMessageReader reader(words, options);
@@ -201,9 +191,7 @@
         acceptor_(context),
         beat_(context),
         gather_(context),
-        random_(std::random_device()()) {
-    incarnation_ = random_();
-  }
+        random_(std::random_device()()) {}
 
   void Start();
   void Stop();
@@ -242,7 +230,6 @@
   bool pulling_ = false;
   bool stopped_ = false;
   std::mt19937_64 random_;
-  std::uint64_t incarnation_ = 0;
   udp::endpoint sender_;
   std::array<char, 2048> chunk_{};
   std::map<std::string, member> members_;
@@ -407,10 +394,8 @@
   beat.setInstance(settings_.instance);
   beat.setZone(settings_.zone);
   beat.setHost(settings_.peers.host);
-  beat.setIncarnation(incarnation_);
   beat.setConfigurationVersion(view.configuration_version);
   beat.setListVersion(view.list_version);
-  beat.setLeaving(view.leaving);
   beat.setListHash(view.list_hash);
   beat.setStoreAgeMs(static_cast<std::uint32_t>(view.store_age.count()));
   beat.setCapacity(CapacityUnits(settings_.capacity));
@@ -474,7 +459,7 @@
 
 void peer_exchange::implementation::OnDatagram(std::size_t size) {
   try {
-    const auto words = Words(chunk_.data(), size);
+    const auto words = instances::CopyWords(chunk_.data(), size);
     capnp::FlatArrayMessageReader reader(words);
     OnHeartbeat(reader.getRoot<wire::Heartbeat>());
   } catch (const kj::Exception& problem) {
@@ -587,7 +572,7 @@
   with->Read(
       [self = shared_from_this(), with](const std::string& body) {
         try {
-          const auto words = Words(body.data(), body.size());
+          const auto words = instances::CopyWords(body.data(), body.size());
           capnp::FlatArrayMessageReader reader(words);
           const auto asked = reader.getRoot<wire::StateRequest>();
           with->Arm();
--- a/plantaintiller/gateway/peer_exchange.h
+++ b/plantaintiller/gateway/peer_exchange.h
@@ -43,7 +43,6 @@
   std::uint64_t list_version = 0;
   /// Equal for lists of the same servers.
   std::uint64_t list_hash = 0;
-  bool leaving = false;
   /// Age of what it knows of the store, by reads of its own or of others.
   core::milliseconds store_age{0};
   /// Leaders that changed lately; few.
--- a/plantaintiller/gateway/relay_choice.cpp
+++ b/plantaintiller/gateway/relay_choice.cpp
@@ -36,12 +36,6 @@
 
 }  // namespace
 
-bool relay_choice::IsRelay(const relay_candidate& self,
-                           const std::vector<relay_candidate>& live,
-                           std::size_t small) {
-  return live.size() < small || IsAmong(Relays(self, live), self);
-}
-
 bool relay_choice::IsReader(const relay_candidate& self,
                             const std::vector<relay_candidate>& live,
                             std::size_t small) {
--- a/plantaintiller/gateway/relay_choice.h
+++ b/plantaintiller/gateway/relay_choice.h
@@ -25,10 +25,6 @@
   static bool IsReader(const relay_candidate& self,
                        const std::vector<relay_candidate>& live,
                        std::size_t small);
-  /// Whether an instance passes news on. Parameters as below.
-  static bool IsRelay(const relay_candidate& self,
-                      const std::vector<relay_candidate>& live,
-                      std::size_t small);
   /// @param self the instance that tells; @param live others believed alive;
   /// @param small up to this many instances everyone tells everyone.
   /// @return hosts to tell: all others in a small deployment; else the relays
--- a/plantaintiller/gateway/store_watch.h
+++ b/plantaintiller/gateway/store_watch.h
@@ -55,7 +55,6 @@
   void OnRouteRows(const store::rows_answer& answer);
   void ReadServers(const std::string& from);
   void OnServerRows(const store::rows_answer& answer);
-  void Publish();
   void OnFailure();
   void ScheduleServers(core::time_point when, bool out_of_turn);
   void ScheduleRoutes(core::time_point when);
--- a/plantaintiller/instances/heartbeat.capnp
+++ b/plantaintiller/instances/heartbeat.capnp
@@ -8,23 +8,20 @@
   instance @0 :Text;
   zone @1 :Text;
   host @2 :Text;
-  # Drawn at each start.
-  incarnation @3 :UInt64;
-  configurationVersion @4 :UInt64;
+  configurationVersion @3 :UInt64;
   # Version of the store that the sender's list of servers is of.
-  listVersion @5 :UInt64;
-  leaving @6 :Bool;
-  leaders @7 :List(Leader);
+  listVersion @4 :UInt64;
+  leaders @5 :List(Leader);
   # Servers that refuse the sender a connection, all being in use.
-  full @8 :List(ServerName);
+  full @6 :List(ServerName);
   # Some of the instances that the sender knows.
-  members @9 :List(Member);
+  members @7 :List(Member);
   # Processor share of the sender, in thousandths of a core.
-  capacity @10 :UInt32;
+  capacity @8 :UInt32;
   # Age of what the sender knows of the store, in milliseconds.
-  storeAgeMs @11 :UInt32;
+  storeAgeMs @9 :UInt32;
   # Tells lists of the same servers apart from others.
-  listHash @12 :UInt64;
+  listHash @10 :UInt64;
 }
 
 struct Leader {
--- a/plantaintiller/instances/heartbeat.capnp.h
+++ b/plantaintiller/instances/heartbeat.capnp.h
@@ -39,7 +39,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c07624352457e6d0, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c07624352457e6d0, 4, 6)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() {
       return &schema->defaultBrand;
@@ -178,14 +178,10 @@
   inline bool hasHost() const;
   inline ::capnp::Text::Reader getHost() const;
 
-  inline ::uint64_t getIncarnation() const;
-
   inline ::uint64_t getConfigurationVersion() const;
 
   inline ::uint64_t getListVersion() const;
 
-  inline bool getLeaving() const;
-
   inline bool hasLeaders() const;
   inline ::capnp::List<::plantaintiller::instances::wire::Leader,
                        ::capnp::Kind::STRUCT>::Reader
@@ -260,18 +256,12 @@
   inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
   inline ::capnp::Orphan<::capnp::Text> disownHost();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
-
   inline ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion(::uint64_t value);
 
   inline ::uint64_t getListVersion();
   inline void setListVersion(::uint64_t value);
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
   inline bool hasLeaders();
   inline ::capnp::List<::plantaintiller::instances::wire::Leader,
                        ::capnp::Kind::STRUCT>::Builder
@@ -1125,62 +1115,34 @@
       _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Heartbeat::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Heartbeat::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
-}
-
 inline ::uint64_t Heartbeat::Reader::getConfigurationVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
                                           ::capnp::ELEMENTS);
 }
 
 inline ::uint64_t Heartbeat::Builder::getConfigurationVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
                                            ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setConfigurationVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
                                     value);
 }
 
 inline ::uint64_t Heartbeat::Reader::getListVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                           ::capnp::ELEMENTS);
 }
 
 inline ::uint64_t Heartbeat::Builder::getListVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
                                            ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setListVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
                                     value);
 }
 
-inline bool Heartbeat::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(::capnp::bounded<192>() *
-                                    ::capnp::ELEMENTS);
-}
-
-inline bool Heartbeat::Builder::getLeaving() {
-  return _builder.getDataField<bool>(::capnp::bounded<192>() *
-                                     ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<192>() * ::capnp::ELEMENTS,
-                              value);
-}
-
 inline bool Heartbeat::Reader::hasLeaders() const {
   return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
               .isNull();
@@ -1348,44 +1310,44 @@
 }
 
 inline ::uint32_t Heartbeat::Reader::getCapacity() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() *
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() *
                                           ::capnp::ELEMENTS);
 }
 
 inline ::uint32_t Heartbeat::Builder::getCapacity() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() *
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() *
                                            ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setCapacity(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
                                     value);
 }
 
 inline ::uint32_t Heartbeat::Reader::getStoreAgeMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() *
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() *
                                           ::capnp::ELEMENTS);
 }
 
 inline ::uint32_t Heartbeat::Builder::getStoreAgeMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() *
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() *
                                            ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setStoreAgeMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
                                     value);
 }
 
 inline ::uint64_t Heartbeat::Reader::getListHash() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<5>() *
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
                                           ::capnp::ELEMENTS);
 }
 
 inline ::uint64_t Heartbeat::Builder::getListHash() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<5>() *
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
                                            ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setListHash(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
                                     value);
 }
 
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -172,7 +172,6 @@
     kLifting,
   };
   struct server_answer {
-    bool asked = false;
     std::optional<sessions::server_status> status;
   };
   using answers = std::map<std::string, server_answer>;
--- a/plantaintiller/sessions/server_connection.h
+++ b/plantaintiller/sessions/server_connection.h
@@ -70,7 +70,6 @@
   /// Servers that were tried in vain.
   std::vector<std::string> excluded;
   int priority = 0;
-  core::time_point deadline;
 };
 
 }  // namespace plantaintiller::sessions
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -251,7 +251,6 @@
   }
   need.excluded = excluded_;
   need.priority = route_->priority;
-  need.deadline = deadline_;
   phase_ = phase::kAcquiring;
   const core::time_point now = host_.Now();
   const core::time_point look =
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -56,7 +56,7 @@
   void OnMessage(const caller_message& message);
   /// The caller's connection is gone.
   void OnCallerGone();
-  /// A connection as asked for. @param leads whether it is the leader's.
+  /// A connection as asked for.
   void OnConnection(server_connection& connection);
   /// The statement of a transaction that waited for its turn may be sent.
   void OnTurn();
--- a/tests/gateway/relay_choice_test.cpp
+++ b/tests/gateway/relay_choice_test.cpp
@@ -84,7 +84,13 @@
         }
       }
       if (relay_choice::IsReader(self, others, 16)) {
-        CHECK(relay_choice::IsRelay(self, others, 16));
+        // Only relays tell instances of other zones.
+        bool is_relay = false;
+        for (const std::string& host :
+             relay_choice::Targets(self, others, 16)) {
+          is_relay = is_relay || !host.starts_with(self.zone + "-");
+        }
+        CHECK(is_relay);
         readers.insert(self.name);
         zones.insert(self.zone);
       }
--- a/tests/platform/session_lines_test.cpp
+++ b/tests/platform/session_lines_test.cpp
@@ -278,15 +278,25 @@
   CHECK(session.host.TakeReplies().starts_with("ERROR BUSY"));
 }
 
-// The pattern: a leader without slots refused the statements of transactions,
-// which each session then repeated every 25 ms, 1,800 times in two seconds.
-TEST_CASE("a transaction's statements wait for their turns") {
-  session_fixture session("primary");
+namespace {
+
+/// A transaction whose first write has to wait for its turn at the leader.
+fake_connection& BeginWithoutTurn(session_fixture& session) {
   session.Say("QUERY 1 BEGIN");
   session.Say("QUERY 2 WRITE a b");
   fake_connection& leader = session.Grant("a");
   session.host.turns_free = false;
   session.Answer({"COMPLETE -", "READY T 3.5"});
+  return leader;
+}
+
+}  // namespace
+
+// The pattern: a leader without slots refused the statements of transactions,
+// which each session then repeated every 25 ms, 1,800 times in two seconds.
+TEST_CASE("a transaction's statements wait for their turns") {
+  session_fixture session("primary");
+  fake_connection& leader = BeginWithoutTurn(session);
   CHECK(leader.TakeSent() == "QUERY - BEGIN\r\n");
   CHECK(session.host.turns_asked == 1);
   session.engine.OnTurn();
@@ -297,11 +307,7 @@
 
 TEST_CASE("a transaction whose turn does not come is aborted, as not run") {
   session_fixture session("primary");
-  session.Say("QUERY 1 BEGIN");
-  session.Say("QUERY 2 WRITE a b");
-  fake_connection& leader = session.Grant("a");
-  session.host.turns_free = false;
-  session.Answer({"COMPLETE -", "READY T 3.5"});
+  fake_connection& leader = BeginWithoutTurn(session);
   leader.TakeSent();
   session.host.TakeReplies();
   session.Pass(milliseconds(1000));
