Retry for a transaction's holder that was never live; soak tasks that end

(1) membership::OnInstanceList made a peer known at once but live only at the next tick, and the router retried only for unknown holders: a commit at an instance that had just read the list was refused as no_executor. (2) asyncio.wait_for of Python 3.11 drops a cancellation that arrives with the awaited answer, so a caller of the soak went on after its end and asyncio.run never returned. Changes: a listed peer is live at once; a transaction waits for a holder that was never heard; the soak uses asyncio.timeout, ends its instances on SIGTERM, and the test terminates it instead of killing it.

--- a/plantaintiller/decisions/instance_decider.cpp
+++ b/plantaintiller/decisions/instance_decider.cpp
@@ -533,8 +533,8 @@
   return membership_.IsReachable(peer);
 }
 
-bool instance_decider::IsKnown(core::instance_id peer) const {
-  return membership_.IsKnown(peer);
+bool instance_decider::HasBeenHeard(core::instance_id peer) const {
+  return membership_.HasBeenHeard(peer);
 }
 
 void instance_decider::SubmitLocally(std::uint64_t handle,
--- a/plantaintiller/decisions/instance_decider.h
+++ b/plantaintiller/decisions/instance_decider.h
@@ -134,7 +134,7 @@
   const std::vector<core::instance_id>& HoldersOf(
       core::backend_server_id server) override;
   bool IsReachable(core::instance_id peer) const override;
-  bool IsKnown(core::instance_id peer) const override;
+  bool HasBeenHeard(core::instance_id peer) const override;
   core::zone_id Zone() const override { return settings_.zone; }
   void SubmitLocally(std::uint64_t handle,
                      const core::statement& work,
--- a/plantaintiller/decisions/membership.cpp
+++ b/plantaintiller/decisions/membership.cpp
@@ -25,6 +25,7 @@
     listed.listed = true;
     if (!known_before) {
       listed.first_listed = now;
+      listed.live = true;
     }
     if (entry.state == core::instance_state::kLeaving) {
       listed.leaving = true;
@@ -43,6 +44,7 @@
   sender.zone = zone;
   sender.has_heartbeat = true;
   sender.last_heartbeat = now;
+  sender.live = true;
   sender.leaving = leaving;
 }
 
@@ -82,6 +84,11 @@
   return peers;
 }
 
+bool membership::HasBeenHeard(core::instance_id peer) const {
+  const auto found = peers_.find(peer);
+  return found != peers_.end() && found->second.has_heartbeat;
+}
+
 bool membership::IsReachable(core::instance_id peer) const {
   const auto found = peers_.find(peer);
   return found != peers_.end() && found->second.live;
--- a/plantaintiller/decisions/membership.h
+++ b/plantaintiller/decisions/membership.h
@@ -57,6 +57,8 @@
   bool IsReachable(core::instance_id peer) const;
   /// Whether a peer has ever been listed or sent a heartbeat.
   bool IsKnown(core::instance_id peer) const { return peers_.contains(peer); }
+  /// Whether a peer has ever sent a heartbeat to this instance.
+  bool HasBeenHeard(core::instance_id peer) const;
 
  private:
   struct peer {
--- a/plantaintiller/decisions/request_router.cpp
+++ b/plantaintiller/decisions/request_router.cpp
@@ -268,11 +268,13 @@
 bool request_router::CanRetryLater(const request& item,
                                    refusal_type refusal,
                                    core::time_point now) {
-  // A new instance may not know the holder of a transaction yet. If the holder
-  // is known but not reachable, the transaction is lost with it.
-  const bool holder_unknown = refusal == refusal_type::kNoExecutor &&
-                              !host_.IsKnown(item.work.transaction.executor);
-  const bool may_repeat = !IsPinned(item.work) || holder_unknown;
+  // A new instance may not have heard from the holder of a transaction yet. If
+  // a holder that was heard is no longer reachable, the transaction is lost
+  // with it.
+  const bool awaits_holder =
+      refusal == refusal_type::kNoExecutor &&
+      !host_.HasBeenHeard(item.work.transaction.executor);
+  const bool may_repeat = !IsPinned(item.work) || awaits_holder;
   const bool has_time = now + settings_.min_retry_delay < item.work.deadline;
   if (!IsRetryable(refusal) || !may_repeat || !has_time ||
       pending_retries_ >= settings_.max_pending_retries) {
--- a/plantaintiller/decisions/router_host.h
+++ b/plantaintiller/decisions/router_host.h
@@ -26,8 +26,8 @@
       core::backend_server_id server) = 0;
   /// Whether a peer is live, so that statements can be forwarded to it.
   virtual bool IsReachable(core::instance_id peer) const = 0;
-  /// Whether a peer has ever been listed by the platform or sent a heartbeat.
-  virtual bool IsKnown(core::instance_id peer) const = 0;
+  /// Whether a peer has ever sent a heartbeat to this instance.
+  virtual bool HasBeenHeard(core::instance_id peer) const = 0;
   /// Availability zone of this instance.
   virtual core::zone_id Zone() const = 0;
   /// Runs a statement on this instance's own connections.
--- a/tests/decisions/instance_decider_test.cpp
+++ b/tests/decisions/instance_decider_test.cpp
@@ -161,4 +161,41 @@
   CHECK_FALSE(process.decider->IsIdle());
 }
 
+// An instance that has just read the list must not refuse a commit because the
+// holder of the transaction counts as live only from the next tick on.
+TEST_CASE(
+    "instance_decider: a listed holder gets a transaction before the next "
+    "tick") {
+  process_fixture process(1);
+  process.Configure();
+  core::statement commit = process.Work(statement_kind::kCommit);
+  commit.transaction = {{2}, 7, 1};
+  const std::size_t answers = process.actions.answers.size();
+  process.decider->OnInstanceList({{{2}, {5}, "127.0.0.1", 1, {}}},
+                                  process.now);
+  process.decider->OnCallerStatement(2, commit, process.now);
+  REQUIRE(process.actions.forwards.size() == 1);
+  CHECK(process.actions.forwards.back().to == core::instance_id{2});
+  CHECK(process.actions.answers.size() == answers);
+}
+
+TEST_CASE(
+    "instance_decider: a transaction waits for a holder that was never live") {
+  process_fixture process(1);
+  process.Configure();
+  core::statement commit = process.Work(statement_kind::kCommit);
+  commit.transaction = {{2}, 7, 1};
+  const std::size_t answers = process.actions.answers.size();
+  process.decider->OnCallerStatement(2, commit, process.now);
+  CHECK(process.actions.answers.size() == answers);
+  process.decider->OnInstanceList({{{2}, {5}, "127.0.0.1", 1, {}}},
+                                  process.now);
+  for (int n = 0; n < 60 && process.actions.forwards.empty(); ++n) {
+    process.now += milliseconds(5);
+    process.decider->OnTick(process.now);
+  }
+  REQUIRE(process.actions.forwards.size() == 1);
+  CHECK(process.actions.answers.size() == answers);
+}
+
 }  // namespace plantaintiller::decisions
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -6,6 +6,7 @@
 
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -21,10 +22,19 @@
 
 
 def run_soak(*arguments):
-    return subprocess.run(
+    process = subprocess.Popen(
         [sys.executable, str(SOAK_SCRIPT), *arguments],
-        capture_output=True, text=True, timeout=300, check=False,
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
     )
+    try:
+        output, errors = process.communicate(timeout=300)
+    except subprocess.TimeoutExpired:
+        # Lets the soak end the instances that it has started.
+        process.terminate()
+        process.communicate()
+        raise
+    return subprocess.CompletedProcess(
+        process.args, process.returncode, output, errors)
 
 
 class SoakTest(unittest.TestCase):
@@ -38,6 +48,23 @@
         self.assertIn("own write", run.stdout)
 
 
+    def test_terminated_soak_ends_its_instances(self):
+        process = subprocess.Popen(
+            [sys.executable, str(SOAK_SCRIPT), "--seeds", "1:1", "--seconds", "60"],
+            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+        )
+        children = pathlib.Path(f"/proc/{process.pid}/task/{process.pid}/children")
+        started = []
+        while len(started) < 3:
+            self.assertIsNone(process.poll(), "the soak ended too early")
+            time.sleep(0.05)
+            started = children.read_text().split()
+        process.terminate()
+        self.assertEqual(process.wait(60), 128 + signal.SIGTERM)
+        self.assertEqual(
+            [each for each in started if pathlib.Path(f"/proc/{each}").exists()], [])
+
+
 class StartTest(unittest.TestCase):
     """An instance accepts no callers before it has its routes.
 
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -149,7 +149,8 @@
             if rows or remaining <= 0:
                 return self.envelope(rows)
             try:
-                await asyncio.wait_for(self.changed.wait(), remaining)
+                async with asyncio.timeout(remaining):
+                    await self.changed.wait()
             except asyncio.TimeoutError:
                 pass
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -119,7 +119,7 @@
         host, port = self.world.choose_entry_address()
         self.reader, self.writer = await asyncio.open_connection(host, port)
         self.writer.write(f"START {self.database} soak\r\n".encode())
-        line = await asyncio.wait_for(self.reader.readline(), 2)
+        line = await self.read_line(2)
         if not line.startswith(b"READY"):
             raise ConnectionError(line.decode())
         own_item, last_written = f"own-{random.random()}", 0
@@ -133,12 +133,17 @@
                 await self.transaction()
             await asyncio.sleep(self.world.random.random() * 0.03)
 
+    async def read_line(self, seconds):
+        # asyncio.wait_for of Python 3.11 can drop a cancellation.
+        async with asyncio.timeout(seconds):
+            return await self.reader.readline()
+
     async def send_query(self, query_id, text, rows=None):
         """Sends one query and reads its answer. Returns the error code or None."""
         self.writer.write(f"QUERY {query_id} {text}\r\n".encode())
         code = None
         while True:
-            line = (await asyncio.wait_for(self.reader.readline(), 6)).decode()
+            line = (await self.read_line(6)).decode()
             word, _, rest = line.strip().partition(" ")
             if word == "DATAROW" and rows is not None:
                 rows.append(rest)
@@ -235,7 +240,7 @@
         host, port = self.world.choose_entry_address()
         self.reader, self.writer = await asyncio.open_connection(host, port)
         self.writer.write(b"START orders soak\r\n")
-        await asyncio.wait_for(self.reader.readline(), 2)
+        await self.read_line(2)
         while True:
             self.world.next_count += 1
             number = self.world.next_count
@@ -458,6 +463,11 @@
         return violations
 
 
+def end_by_signal(signal_number, _):
+    """Ends the run through its clean-up, which ends the processes it started."""
+    raise SystemExit(128 + signal_number)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1:3", help="FIRST:COUNT")
@@ -468,6 +478,7 @@
         help="servers answer reads even if their log lacks the position: must be found",
     )
     arguments = parser.parse_args()
+    signal.signal(signal.SIGTERM, end_by_signal)
     first, count = (int(each) for each in arguments.seeds.split(":"))
     failed = [
         seed for seed in range(first, first + count)
