--- a/plantaintiller/core/time.h
+++ b/plantaintiller/core/time.h
@@ -17,4 +17,8 @@
   return std::chrono::duration_cast<milliseconds>(value);
 }
 
+/// @return how long this machine has been suspended since it was started. The
+/// monotonic clock does not count that time.
+duration SuspendedTime();
+
 }  // namespace plantaintiller::core
--- a/plantaintiller/gateway/caller_session.h
+++ b/plantaintiller/gateway/caller_session.h
@@ -71,6 +71,11 @@
     environment_.LeadershipChecks().Cancel(group, *this);
     check_listener_ = nullptr;
   }
+  void OnCommitConfirmed(const std::string& group,
+                         const std::string& server,
+                         core::time_point sent) override {
+    environment_.LeadershipChecks().OnCommitConfirmed(group, server, sent);
+  }
   void Reply(const std::string& bytes) override;
   void Close() override;
   void SetTimer(core::time_point when) override;
--- a/plantaintiller/gateway/claim_codec.cpp
+++ b/plantaintiller/gateway/claim_codec.cpp
@@ -9,7 +9,8 @@
       boost::json::object{{"token", claim.token},
                           {"holder", claim.holder},
                           {"nonce", claim.nonce},
-                          {"claimed_at_ms", claim.claimed_at.count()}});
+                          {"claimed_at_ms", claim.claimed_at.count()},
+                          {"settled", claim.settled}});
 }
 
 std::optional<replication::group_claim> DecodeClaim(const std::string& text) {
@@ -38,6 +39,10 @@
   }
   claim.holder = std::string(holder->as_string());
   claim.claimed_at = core::milliseconds(claimed_at);
+  // A claim of an earlier release has no such field and counts as not settled.
+  const boost::json::value* settled = object.if_contains("settled");
+  claim.settled =
+      settled != nullptr && settled->is_bool() && settled->as_bool();
   return claim;
 }
 
--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -32,6 +32,10 @@
 /// group's next one.
 constexpr core::milliseconds kRestartPause{400};
 
+/// Pause between demotions of a former leader: the interval at which the list
+/// is read.
+constexpr core::milliseconds kDemotionPause{1000};
+
 struct monitored_group {
   monitored_group(boost::asio::io_context& context,
                   replication::group_state& state,
@@ -54,6 +58,7 @@
   bool start_armed = false;
   bool probing = false;
   core::time_point earliest_start;
+  core::time_point next_demotion;
 };
 
 }  // namespace
@@ -98,12 +103,16 @@
 
   // replication::change_host
   core::time_point Now() const override { return core::clock::now(); }
+  core::duration SuspendedTime() const override {
+    return core::SuspendedTime();
+  }
   void ReadClaim(const std::string& group,
                  std::function<void(std::optional<replication::group_claim>,
                                     core::milliseconds)> done) override;
   void WriteClaim(const std::string& group,
                   const replication::group_claim& claim,
-                  std::function<void(store::call_status)> done) override;
+                  std::function<void(store::call_status, store::row_version)>
+                      done) override;
   void SendCommand(const std::string& group,
                    const std::string& server,
                    replication::server_command order,
@@ -137,6 +146,9 @@
   }
 
  private:
+  /// Demotes servers that are listed as leader although another one leads a
+  /// later term.
+  void DemoteFormerLeaders(monitored_group& each);
   void ArmStart(monitored_group& each);
   void Probe(monitored_group& each);
   monitored_group* Find(const std::string& name) {
@@ -161,6 +173,7 @@
     return;
   }
   const core::time_point now = core::clock::now();
+  DemoteFormerLeaders(*each);
   if (monitor_.ChangeNeeded(each->group, now).has_value()) {
     ArmStart(*each);
   } else if (replication::leader_monitor::IsSuspected(each->group)) {
@@ -168,6 +181,28 @@
   }
 }
 
+void leader_controller::implementation::DemoteFormerLeaders(
+    monitored_group& each) {
+  const core::term_number term = each.group.ConfirmedLeaderTerm();
+  const core::time_point now = core::clock::now();
+  if (term == 0 || now < each.next_demotion) {
+    return;
+  }
+  for (const auto& [id, listed] : each.group.Servers()) {
+    if (!listed.entry.reports_leader || id == each.group.Leader()) {
+      continue;
+    }
+    each.next_demotion = now + kDemotionPause;
+    log_line(dependencies_.log, "groups", "demote")
+        .With("group", each.group.Name())
+        .With("server", id)
+        .With("term", static_cast<std::int64_t>(term));
+    // A server that leads this term or a later one ignores the command.
+    SendCommand(each.group.Name(), id, replication::server_command::kDemote,
+                term, [](std::optional<sessions::server_status>) {});
+  }
+}
+
 void leader_controller::implementation::ArmStart(monitored_group& each) {
   if (each.start_armed) {
     return;
@@ -260,7 +295,7 @@
 void leader_controller::implementation::WriteClaim(
     const std::string& group,
     const replication::group_claim& claim,
-    std::function<void(store::call_status)> done) {
+    std::function<void(store::call_status, store::row_version)> done) {
   store::row_transaction change;
   store::row row;
   row.table = kClaimTable;
@@ -272,7 +307,7 @@
   change.writes.push_back(row);
   dependencies_.rows.Commit(
       change, [done = std::move(done)](const store::rows_answer& answer) {
-        done(answer.status);
+        done(answer.status, answer.newest_version);
       });
 }
 
@@ -299,6 +334,9 @@
     case replication::server_command::kResume:
       dependencies_.servers.AppendResume(bytes);
       break;
+    case replication::server_command::kDemote:
+      dependencies_.servers.AppendDemote(bytes, term);
+      break;
   }
   SendServerCommand(
       context_, each->pool, server, std::move(bytes), kCommandTimeout,
--- a/plantaintiller/gateway/leadership_checks.cpp
+++ b/plantaintiller/gateway/leadership_checks.cpp
@@ -120,6 +120,15 @@
   }
 }
 
+void leadership_checks::OnCommitConfirmed(const std::string& group,
+                                          const std::string& server,
+                                          core::time_point sent) {
+  const auto found = implementation_->groups_.find(group);
+  if (found != implementation_->groups_.end()) {
+    found->second->check.OnCommitConfirmed(server, sent);
+  }
+}
+
 std::uint64_t leadership_checks::Queries() const {
   std::uint64_t queries = 0;
   for (const auto& [name, each] : implementation_->groups_) {
--- a/plantaintiller/gateway/leadership_checks.h
+++ b/plantaintiller/gateway/leadership_checks.h
@@ -40,6 +40,11 @@
   /// Withdraws the requests of a listener.
   void Cancel(const std::string& group,
               replication::leadership_check_listener& listener);
+  /// Called when a commit was acknowledged that a replica has confirmed.
+  /// @param sent time at which it was sent.
+  void OnCommitConfirmed(const std::string& group,
+                         const std::string& server,
+                         core::time_point sent);
   /// @return the number of queries sent, over all groups.
   std::uint64_t Queries() const;
   void Stop();
--- /dev/null
+++ b/plantaintiller/model/change_simulation.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "plantaintiller/model/change_instance.h"
+#include "plantaintiller/model/change_server.h"
+#include "plantaintiller/model/change_world.h"
+#include "plantaintiller/model/event_queue.h"
+
+namespace plantaintiller::model {
+
+/// Simulates the servers of a group, the store, the promotions and the faults.
+class change_simulation {
+ public:
+  change_simulation(const change_world_settings& run_settings,
+                    std::uint64_t seed);
+  change_world_result Run();
+
+  int DrawUpTo(int limit) {
+    return std::uniform_int_distribution<int>(0, limit)(random);
+  }
+  bool DrawPercent(int percent) { return DrawUpTo(99) < percent; }
+  core::milliseconds DrawLatency() {
+    return core::milliseconds(1 + DrawUpTo(8));
+  }
+  /// Latency of a read or of a query for a leadership check. It has a random
+  /// sequence of its own, so that reads do not change the other events.
+  core::milliseconds DrawReadLatency() {
+    return core::milliseconds(
+        1 + std::uniform_int_distribution<int>(0, 8)(read_random));
+  }
+  change_server* Find(const std::string& id);
+  /// @return the leader of the newest term among the live servers.
+  change_server* Leader();
+  /// Runs a task at an instance, once it is no longer frozen.
+  void Deliver(change_instance& to, std::function<void()> task);
+
+  void Commit();
+  void CommitAt(change_server& leader);
+  void Replicate(const std::string& from, const std::string& to);
+  void ExecuteCommand(change_server& server,
+                      replication::server_command command,
+                      core::term_number term);
+  void ExecutePromotion(
+      const std::string& id,
+      std::uint64_t token,
+      const std::string& holder,
+      const std::function<void(store::promotion_status)>& done);
+  void CompletePromotion(const std::string& id);
+  /// Makes servers that reach the newest leader follow it. A former leader does
+  /// so after a second unless it is demoted before.
+  void FollowNewestLeader();
+  void FollowRepeatedly();
+  void Follow(change_server& server, const change_server& leader);
+  /// Checks the order in which tokens are sent where they are not checked by
+  /// the platform.
+  void OnPromotionSent(std::uint64_t token, const std::string& holder);
+  /// @return whether a server has the newest of the first `count` acknowledged
+  /// commits.
+  bool HasCommits(const change_server& server, std::size_t count) const;
+  void InjectRandomFault();
+  void InjectPartition(core::milliseconds span);
+  void Crash(change_server& server, core::milliseconds span, bool empty);
+  void Acknowledge(int write);
+  void ReportViolation(const std::string& text);
+  void LogFault(const std::string& text);
+  void Trace(const std::string& text);
+
+  const change_world_settings& settings;
+  std::mt19937_64 random;
+  std::mt19937_64 read_random;
+  event_queue queue;
+  std::vector<change_server> servers;
+  std::vector<std::unique_ptr<change_instance>> instances;
+  replication::group_claim stored_claim;
+  std::uint64_t highest_token = 0;
+  std::map<std::uint64_t, std::string> token_holders;
+  int lost_answer_percent = 0;
+  int next_write = 1;
+  struct unconfirmed_write {
+    std::string leader;
+    std::size_t size = 0;
+  };
+  std::map<int, unconfirmed_write> unconfirmed_writes;
+  std::set<int> acknowledged;
+  /// Acknowledged commits with the sizes of the log up to them.
+  std::vector<std::pair<int, std::size_t>> acknowledged_in_order;
+  std::uint64_t highest_sent_token = 0;
+  core::time_point last_acknowledged;
+  change_world_result result;
+};
+
+}  // namespace plantaintiller::model
--- a/plantaintiller/model/change_world.h
+++ b/plantaintiller/model/change_world.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "plantaintiller/core/time.h"
+#include "plantaintiller/replication/leadership_check.h"
 #include "plantaintiller/replication/primary_change.h"
 
 namespace plantaintiller::model {
@@ -26,7 +27,15 @@
   int fault_count = 6;
   /// Whether the faults are only planned replacements of the leader.
   bool planned_changes_only = false;
+  /// Whether a replaced leader goes on as leader until it is demoted, or for a
+  /// second after it reaches the new one; otherwise it loses the lead at once.
+  bool old_leader_goes_on = false;
+  /// Whether the platform refuses promotions with outdated tokens.
+  bool fencing = true;
+  /// Whether the faults include partitions between servers and instances.
+  bool partitions = false;
   replication::injected_change_defects defects;
+  replication::injected_check_defects check_defects;
 };
 
 /// Result of a run.
@@ -40,6 +49,8 @@
   std::vector<std::string> trace;
   /// Number of completed promotions.
   int promotions = 0;
+  /// Number of reads at the leader that were answered.
+  int reads = 0;
   /// Number of acknowledged commits.
   int acknowledged = 0;
   /// Longest time between two acknowledged commits.
@@ -54,7 +65,8 @@
 /// replication, a store, the platform's promotions, and instances that run the
 /// `replication` classes of the product. Servers crash, restart empty, lag and
 /// drain; commands, claims and promotions lose their answers or are executed
-/// late; instances freeze and are cut off from servers.
+/// late; instances freeze and are cut off from servers; partitions divide
+/// servers and instances.
 /// @param seed of all random choices; the same seed gives the same result.
 change_world_result SimulatePrimaryChanges(
     const change_world_settings& settings,
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -89,11 +89,6 @@
     if (known != servers_.end()) {
       updated = known->second;
     }
-    const bool started =
-        known == servers_.end() || known->second.entry.born_ms != entry.born_ms;
-    if (started && has_list_) {
-      updated.listed_since = now;
-    }
     updated.entry = entry;
     const auto zone = zones.find(entry.zone);
     updated.zone_distance =
@@ -110,7 +105,6 @@
     }
     next.emplace(entry.id, std::move(updated));
   }
-  has_list_ = has_list_ || !next.empty();
   KeepUnlistedLeader(next, now);
   RecordRemoved(next, now);
   servers_ = std::move(next);
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -65,9 +65,6 @@
     /// Time since which it is not listed. An unlisted leader is kept for a
     /// while, as long as it answers, until another server is the leader.
     std::optional<core::time_point> unlisted_since;
-    /// Time since which it is listed with the present start time. The epoch if
-    /// it was in the first list, when nothing is known about earlier times.
-    core::time_point listed_since;
     /// Time since which it is draining.
     std::optional<core::time_point> draining_since;
     /// Consecutive writes that were sent and not answered in time.
@@ -219,7 +216,6 @@
   /// it as leader.
   std::string rejected_leader_;
   int confirming_replicas_ = 0;
-  bool has_list_ = false;
   leadership_proofs proofs_;
 };
 
--- a/plantaintiller/replication/leadership_check.cpp
+++ b/plantaintiller/replication/leadership_check.cpp
@@ -7,17 +7,14 @@
 
 namespace {
 
-/// Pause before the next server is asked: two round trips between regions.
-constexpr core::milliseconds kNextServerPause{40};
 /// Time-out of a round: a new connection and a round trip between regions.
 constexpr core::milliseconds kRoundLimit{250};
 /// For how long requests fail at once after a round without a result, so that
 /// callers of an instance that is cut off are refused without a wait.
 constexpr core::milliseconds kUnprovenPause{200};
-/// A server that is listed for a shorter time may have missed a hold: the list
-/// is read once a second, and a promotion with its preparation takes longer
-/// than this only if its holds are repeated.
-constexpr core::milliseconds kRecentlyListed{5000};
+/// If the last confirmed commit is older than this, none is expected to arrive
+/// within the time of a round.
+constexpr core::milliseconds kCommitExpected{1000};
 
 }  // namespace
 
@@ -28,11 +25,12 @@
 
 void leadership_check::Request(const std::string& server,
                                leadership_check_listener& listener) {
+  const request added{server, &listener, host_.Now()};
   if (defects_.join_running_round && running_) {
-    current_.push_back({server, &listener});
+    current_.push_back(added);
     return;
   }
-  waiting_.push_back({server, &listener});
+  waiting_.push_back(added);
   if (!running_) {
     StartRound();
   }
@@ -46,33 +44,52 @@
   std::erase_if(current_, is_same);
 }
 
+void leadership_check::OnCommitConfirmed(const std::string& server,
+                                         core::time_point sent) {
+  last_commit_ = std::max(last_commit_, sent);
+  if (server != group_.Leader()) {
+    return;
+  }
+  std::vector<leadership_check_listener*> confirmed;
+  const auto take = [&](const request& each) {
+    const bool proved = each.server == server && each.requested <= sent;
+    if (proved) {
+      confirmed.push_back(each.listener);
+    }
+    return proved;
+  };
+  std::erase_if(current_, take);
+  std::erase_if(waiting_, take);
+  for (leadership_check_listener* each : confirmed) {
+    each->OnLeadershipChecked(leadership_result::kConfirmed);
+  }
+}
+
+bool leadership_check::IsHopeless() const {
+  const core::time_point now = host_.Now();
+  return now - failed_at_ < kUnprovenPause &&
+         now - last_commit_ > kCommitExpected;
+}
+
 void leadership_check::StartRound() {
   running_ = true;
   round_ += 1;
   current_ = std::exchange(waiting_, {});
   leader_ = group_.Leader();
   answers_.clear();
-  asked_ = 0;
   resolving_ = false;
-  round_started_ = host_.Now();
-  order_ = group_.OthersByDistance();
-  const bool fails_at_once = leader_.empty() || host_.Now() < unproven_until_;
-  if (fails_at_once || order_.empty() || defects_.trust_leader) {
+  others_ = group_.OthersByDistance();
+  if (leader_.empty() || IsHopeless() || others_.empty() ||
+      defects_.trust_leader) {
     // The result follows from the timer, never during `Request`.
-    order_.clear();
+    others_.clear();
     host_.SetCheckTimer(group_.Name(), core::milliseconds(0));
     return;
   }
-  AskNext();
-}
-
-void leadership_check::AskNext() {
-  if (asked_ >= order_.size()) {
-    return;
+  host_.SetCheckTimer(group_.Name(), kRoundLimit);
+  for (const std::string& each : others_) {
+    Query(each);
   }
-  Query(order_[asked_++]);
-  host_.SetCheckTimer(group_.Name(),
-                      asked_ < order_.size() ? kNextServerPause : kRoundLimit);
 }
 
 void leadership_check::Query(const std::string& server) {
@@ -89,21 +106,14 @@
   if (!running_) {
     return;
   }
-  if (order_.empty()) {
-    if (leader_.empty()) {
-      EndRound(leadership_result::kLeaderChanged);
-    } else if (host_.Now() < unproven_until_) {
-      EndRound(leadership_result::kUnproven);
-    } else {
-      EndRound(leadership_result::kConfirmed);
-    }
-    return;
-  }
-  if (asked_ < order_.size()) {
-    AskNext();
-    return;
+  if (!others_.empty()) {
+    EndRound(leadership_result::kUnproven);
+  } else if (leader_.empty()) {
+    EndRound(leadership_result::kLeaderChanged);
+  } else {
+    EndRound(IsHopeless() ? leadership_result::kUnproven
+                          : leadership_result::kConfirmed);
   }
-  EndRound(leadership_result::kUnproven);
 }
 
 void leadership_check::OnStatus(std::uint64_t round,
@@ -126,12 +136,6 @@
   Evaluate();
 }
 
-bool leadership_check::IsRecent(const std::string& server) const {
-  const auto found = group_.Servers().find(server);
-  return found == group_.Servers().end() ||
-         round_started_ - found->second.listed_since < kRecentlyListed;
-}
-
 void leadership_check::ResolveTerm() {
   if (!resolving_) {
     resolving_ = true;
@@ -146,32 +150,23 @@
     return;
   }
   const core::term_number term = group_.ConfirmedLeaderTerm();
-  bool all_are_replicas = true;
+  std::size_t replicas = 0;
   bool is_term_outdated = false;
-  for (const std::string& server : order_) {
+  for (const std::string& server : others_) {
     const auto found = answers_.find(server);
     if (found == answers_.end() || !found->second.has_value()) {
-      all_are_replicas = false;
       continue;
     }
     const sessions::server_status& status = *found->second;
-    if (status.term > term) {
-      is_term_outdated = true;
-      all_are_replicas = false;
-      continue;
+    is_term_outdated = is_term_outdated || status.term > term;
+    // A primary of an earlier term is a former leader that goes on.
+    if (status.term < term || (status.term == term && !status.is_primary)) {
+      replicas += 1;
+      if (defects_.ask_one_replica && status.held_term <= term) {
+        EndRound(leadership_result::kConfirmed);
+        return;
+      }
     }
-    // A former leader that goes on cannot have been held.
-    const bool held = status.held_term > term && !defects_.ignore_holds;
-    if (status.is_primary) {
-      all_are_replicas = false;
-    } else if (!held && !IsRecent(server)) {
-      EndRound(leadership_result::kConfirmed);
-      return;
-    }
-  }
-  if (all_are_replicas) {
-    EndRound(leadership_result::kConfirmed);
-    return;
   }
   if (is_term_outdated) {
     const auto own = answers_.find(leader_);
@@ -185,12 +180,8 @@
       host_.OnLeaderChanged(group_.Name());
       EndRound(leadership_result::kLeaderChanged);
     }
-    return;
-  }
-  if (asked_ < order_.size()) {
-    AskNext();
-  } else if (answers_.size() >= order_.size()) {
-    EndRound(leadership_result::kUnproven);
+  } else if (replicas == others_.size()) {
+    EndRound(leadership_result::kConfirmed);
   }
 }
 
@@ -198,9 +189,10 @@
   if (group_.Leader() != leader_) {
     result = leadership_result::kLeaderChanged;
   }
-  if (result == leadership_result::kUnproven &&
-      host_.Now() >= unproven_until_) {
-    unproven_until_ = host_.Now() + kUnprovenPause;
+  if (result != leadership_result::kUnproven) {
+    failed_at_ = {};
+  } else if (!others_.empty()) {
+    failed_at_ = host_.Now();
   }
   running_ = false;
   // A listener may cancel others or request another check.
--- a/plantaintiller/replication/leadership_check.h
+++ b/plantaintiller/replication/leadership_check.h
@@ -55,8 +55,8 @@
 struct injected_check_defects {
   /// Confirms without asking another server.
   bool trust_leader = false;
-  /// Accepts a server that is held for a later term.
-  bool ignore_holds = false;
+  /// Accepts the answer of one replica that is not held.
+  bool ask_one_replica = false;
   /// Accepts an answer of a check that started before the request.
   bool join_running_round = false;
 };
@@ -64,13 +64,15 @@
 /// Verifies that a group's leader has not been replaced.
 ///
 /// A replaced leader that is cut off from the new one may go on as leader for
-/// long, and answers like one. Its own word proves nothing. But before a
-/// promotion `primary_change` holds every server other than the candidate and
-/// the old leader, and the candidate leads a later term once it is promoted.
-/// So no promotion had completed before a request was sent if, after it, one
-/// other server answers that it is a replica, is not held, and knows no later
-/// term. Servers that joined or restarted lately may have missed the hold; then
-/// all other servers must answer that they are not the leader.
+/// long, and answers like one. Its own word proves nothing. A new leader is one
+/// of the other servers, so no promotion had completed before a request was
+/// sent if, after it, all other servers answer that they are not the leader and
+/// know no later term. One replica alone is not enough: the promotion ends its
+/// hold, and it may learn the new term seconds later.
+///
+/// If some server does not answer, a commit proves the same that was sent after
+/// the request and acknowledged, since a replica has received it from the
+/// leader.
 ///
 /// Requests that arrive while a round of queries is in progress wait for the
 /// next round, so that many requests share few queries.
@@ -86,6 +88,10 @@
   void Request(const std::string& server, leadership_check_listener& listener);
   /// Withdraws all requests of a listener.
   void Cancel(leadership_check_listener& listener);
+  /// Called when a commit was acknowledged that a replica has confirmed.
+  /// @param server server that acknowledged it.
+  /// @param sent time at which it was sent.
+  void OnCommitConfirmed(const std::string& server, core::time_point sent);
   /// Called by the host after the pause of `SetCheckTimer`.
   void OnTimer();
   /// @return the number of queries sent.
@@ -97,11 +103,10 @@
   struct request {
     std::string server;
     leadership_check_listener* listener = nullptr;
+    core::time_point requested;
   };
 
   void StartRound();
-  /// Queries the next server, if any is left.
-  void AskNext();
   void Query(const std::string& server);
   void OnStatus(std::uint64_t round,
                 const std::string& server,
@@ -110,7 +115,8 @@
   /// later one.
   void ResolveTerm();
   void Evaluate();
-  bool IsRecent(const std::string& server) const;
+  /// Whether a request without a result is likely to stay without one.
+  bool IsHopeless() const;
   void EndRound(leadership_result result);
 
   leadership_check_host& host_;
@@ -122,14 +128,15 @@
   std::uint64_t round_ = 0;
   std::uint64_t queries_ = 0;
   std::string leader_;
-  /// Other servers, in the order in which they are asked.
-  std::vector<std::string> order_;
-  std::size_t asked_ = 0;
-  core::time_point round_started_;
+  /// The other servers.
+  std::vector<std::string> others_;
   bool resolving_ = false;
   std::map<std::string, std::optional<sessions::server_status>> answers_;
-  /// Until this time requests fail at once, because a round has just failed.
-  core::time_point unproven_until_;
+  /// Time at which the last round ended without a result; the epoch if it had
+  /// one.
+  core::time_point failed_at_;
+  /// Time at which the last confirmed commit was sent.
+  core::time_point last_commit_;
 };
 
 }  // namespace plantaintiller::replication
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -12,8 +12,13 @@
 /// Checks for the new leader between two rounds of holds. The holds are
 /// repeated because a server that comes back can confirm commits immediately.
 constexpr int kChecksPerHold = 1;
+/// Checks for the new leader between two demotions of a leader that did not
+/// answer.
+constexpr int kChecksPerDemotion = 3;
 /// Comparisons in a row in which the candidate may catch up with the leader.
 constexpr int kMaxComparisonRounds = 12;
+/// Stands for the server of a promotion that another instance has ordered.
+constexpr const char* kUnknownServer = "?";
 /// Pause between checks whether the candidate is the leader: a tenth of the
 /// shortest promotion of the users' databases.
 constexpr core::milliseconds kPromotionCheckPause{30};
@@ -32,6 +37,8 @@
       return "stuck";
     case change_reason::kNoLeader:
       return "no_leader";
+    case change_reason::kUnsettled:
+      return "unsettled";
   }
   return "no_leader";
 }
@@ -56,6 +63,10 @@
   candidate_.clear();
   holds_placed_ = false;
   promote_tries_ = 0;
+  fence_tries_ = 0;
+  releasing_holds_ = false;
+  is_fenced_ = false;
+  failed_rounds_ = 0;
   host_.LogChange(group_.Name(), "change_start",
                   std::string(ReasonName(reason)) + " " + old_leader_);
   Claim();
@@ -79,21 +90,35 @@
     case step::kAwaitingPromotion:
       CheckPromotion();
       return;
-    case step::kReleasingHolds:
-      ReleaseHolds();
+    case step::kDemoting:
+      DemoteOldLeader();
+      return;
+    case step::kFencing:
+      Fence();
+      return;
+    case step::kAwaitingFence:
+      QueryServers(step::kQuerying);
       return;
     case step::kIdle:
+      if (IsPromotionOutstanding()) {
+        Start(change_reason::kUnsettled);
+      }
       return;
   }
 }
 
 void primary_change::Claim() {
   step_ = step::kClaiming;
-  if (host_.Now() - started_ > settings_.preparation_limit) {
+  // Releasing the holds may need another claim after the preparation.
+  const core::duration limit =
+      settings_.preparation_limit * (releasing_holds_ ? 2 : 1);
+  if (host_.Now() - started_ > limit) {
     Abandon("claim_time");
     return;
   }
   const std::uint64_t round = ++request_round_;
+  claim_read_ = host_.Now();
+  suspended_at_claim_ = host_.SuspendedTime();
   host_.ReadClaim(group_.Name(), [this, round](std::optional<group_claim> claim,
                                                core::milliseconds store_now) {
     if (round == request_round_ && step_ == step::kClaiming) {
@@ -111,16 +136,25 @@
   if (claim->nonce == nonce_ && nonce_ != 0) {
     // An earlier write of this instance was done although its answer was lost.
     token_ = claim->token;
+    claim_ = *claim;
     QueryServers(step::kQuerying);
     return;
   }
   const bool claimed_by_other =
       claim->version > 0 && claim->holder != settings_.holder &&
+      !claim->settled &&
       store_now - claim->claimed_at < settings_.claim_validity;
   if (claimed_by_other) {
     Abandon("claimed_by_another");
     return;
   }
+  if (claim->settled && claim->token > token_) {
+    // Its holder has had a promotion accepted under a higher token.
+    outstanding_.clear();
+  } else if (claim->token > 0 && !claim->settled &&
+             claim->holder != settings_.holder) {
+    outstanding_.insert(kUnknownServer);
+  }
   if (settings_.injected_defects.reuse_token && claim->token > 0) {
     token_ = claim->token;
     QueryServers(step::kQuerying);
@@ -131,11 +165,14 @@
   next.holder = settings_.holder;
   next.nonce = host_.DrawNonce();
   next.claimed_at = store_now;
+  next.settled = false;
   nonce_ = next.nonce;
   const std::uint64_t round = ++request_round_;
   host_.WriteClaim(group_.Name(), next,
-                   [this, round, next](store::call_status status) {
+                   [this, round, next](store::call_status status,
+                                       store::row_version version) mutable {
                      if (round == request_round_ && step_ == step::kClaiming) {
+                       next.version = version;
                        OnClaimWritten(next, status);
                      }
                    });
@@ -145,6 +182,7 @@
                                     store::call_status status) {
   if (status == store::call_status::kDone) {
     token_ = claim.token;
+    claim_ = claim;
     host_.LogChange(group_.Name(), "claimed",
                     "token " + std::to_string(token_));
     QueryServers(step::kQuerying);
@@ -244,10 +282,14 @@
 }
 
 void primary_change::UpdateOldLeader() {
+  // A former leader may go on until it is demoted.
   std::string primary;
+  core::term_number newest = 0;
   for (const auto& [id, answer] : answers_) {
-    if (answer.status.has_value() && answer.status->is_primary) {
+    if (answer.status.has_value() && answer.status->is_primary &&
+        answer.status->term >= newest) {
       primary = id;
+      newest = answer.status->term;
     }
   }
   leader_answered_ = !primary.empty();
@@ -273,18 +315,38 @@
                          reason_ == change_reason::kRemoved);
   const bool leader_stays = leader_answered_ && leader != nullptr &&
                             !leader->entry.draining && !at_fault;
-  if (leader_stays && !holds_placed_) {
+  // The promotion of a leader in such a term has ended the holds.
+  const bool holds_ended =
+      leader_stays && StatusOf(old_leader_)->term >= hold_term_;
+  const bool releases_unfenced =
+      releasing_holds_ && settings_.fencing && !is_fenced_;
+  if (NeedsFence() || (releases_unfenced && leader_answered_)) {
+    Fence();
+    return;
+  }
+  if (leader_stays && (!holds_placed_ || holds_ended)) {
     // The leader that seemed unresponsive answers as leader, or another server
     // has become the leader.
     group_.OnLeaderSeen(old_leader_, StatusOf(old_leader_)->term, host_.Now());
     Finish(old_leader_);
     return;
   }
+  if (releases_unfenced) {
+    Abandon("leader_lost");
+    return;
+  }
+  if (releasing_holds_) {
+    ReleaseHolds();
+    return;
+  }
   std::string best;
   for (const auto& [id, answer] : answers_) {
     const group_state::server* each = group_.Find(id);
+    // A demoted leader may be the only server with all commits, also if it is
+    // about to stop.
+    const bool was_demoted = id == initial_leader_ && !leader_answered_;
     if (!answer.status.has_value() || answer.status->is_primary ||
-        each == nullptr || each->entry.draining) {
+        each == nullptr || (each->entry.draining && !was_demoted)) {
       continue;
     }
     const bool better =
@@ -301,6 +363,9 @@
     RetryOrAbandon("no_candidate");
     return;
   }
+  if (IsPromotionOutstanding() && IsOutstandingCandidateIntact()) {
+    best = *outstanding_.begin();
+  }
   candidate_ = best;
   promote_tries_ = 0;
   comparison_rounds_ = 0;
@@ -316,6 +381,8 @@
 void primary_change::ClaimAgain(const char* reason) {
   host_.LogChange(group_.Name(), "change_wait", reason);
   nonce_ = 0;
+  is_fenced_ = false;
+  failed_rounds_ = 0;
   Claim();
 }
 
@@ -443,15 +510,78 @@
     RetryOrAbandon("candidate_lacks");
     return;
   }
+  if (leader_answered_ && MayUnheldServerConfirm() &&
+      !settings_.injected_defects.skip_demotion) {
+    DemoteOldLeader();
+    return;
+  }
   Promote();
 }
 
+bool primary_change::MayUnheldServerConfirm() const {
+  const auto is_unheld = [this](const std::string& id) {
+    const sessions::server_status* status = StatusOf(id);
+    return MayConfirm(id) &&
+           (status == nullptr || status->held_term < hold_term_);
+  };
+  return std::any_of(group_.Servers().begin(), group_.Servers().end(),
+                     [&](const auto& each) { return is_unheld(each.first); }) ||
+         std::any_of(group_.RemovedServers().begin(),
+                     group_.RemovedServers().end(), [&](const auto& each) {
+                       // One that was draining has left for good.
+                       return !each.second.entry.draining &&
+                              is_unheld(each.first);
+                     });
+}
+
+void primary_change::DemoteOldLeader() {
+  step_ = step::kDemoting;
+  host_.LogChange(group_.Name(), "demote", old_leader_);
+  const std::uint64_t round = ++request_round_;
+  host_.SendCommand(
+      group_.Name(), old_leader_, server_command::kDemote, hold_term_,
+      [this, round](std::optional<sessions::server_status> status) {
+        if (round == request_round_ && step_ == step::kDemoting) {
+          OnDemoted(status);
+        }
+      });
+}
+
+void primary_change::OnDemoted(std::optional<sessions::server_status> status) {
+  const sessions::server_status* candidate = StatusOf(candidate_);
+  if (!status.has_value() || status->is_primary || candidate == nullptr) {
+    RetryOrAbandon("not_demoted");
+    return;
+  }
+  if (status->received > candidate->received) {
+    // The old leader has commits that it can no longer send.
+    RetryOrAbandon("demoted_ahead");
+    return;
+  }
+  Promote();
+}
+
+bool primary_change::IsClaimValid() const {
+  if (settings_.injected_defects.ignore_claim_age) {
+    return true;
+  }
+  const core::duration age =
+      host_.Now() - claim_read_ + host_.SuspendedTime() - suspended_at_claim_;
+  return age < settings_.claim_validity - settings_.claim_margin;
+}
+
 void primary_change::Promote() {
+  if (!IsClaimValid()) {
+    ClaimAgain("claim_aged");
+    return;
+  }
   step_ = step::kPromoting;
   promote_tries_ += 1;
   promotion_checks_ = 0;
   host_.LogChange(group_.Name(), "promote",
                   candidate_ + " token " + std::to_string(token_));
+  outstanding_.insert(candidate_);
+  candidate_position_ = StatusOf(candidate_)->received;
   const std::uint64_t round = ++request_round_;
   host_.Promote(group_.Name(), candidate_, token_,
                 [this, round](store::promotion_status status) {
@@ -464,6 +594,9 @@
 void primary_change::OnPromoted(store::promotion_status status) {
   switch (status) {
     case store::promotion_status::kAccepted:
+      if (settings_.fencing) {
+        outstanding_.clear();
+      }
       promoted_ = host_.Now();
       step_ = step::kAwaitingPromotion;
       host_.SetTimer(group_.Name(), kPromotionCheckPause);
@@ -496,6 +629,15 @@
                         [](std::optional<sessions::server_status>) {});
     }
   }
+  if (!old_leader_.empty() && !leader_answered_ &&
+      promotion_checks_ % kChecksPerDemotion == 1 &&
+      !settings_.injected_defects.skip_demotion) {
+    // A crashed leader that comes back could have commits confirmed by a server
+    // that has restarted since it was held.
+    host_.SendCommand(group_.Name(), old_leader_, server_command::kDemote,
+                      hold_term_,
+                      [](std::optional<sessions::server_status>) {});
+  }
 }
 
 void primary_change::CheckPromotion() {
@@ -517,6 +659,12 @@
         }
         if (status.has_value() && status->is_primary) {
           group_.OnLeaderSeen(candidate_, status->term, host_.Now());
+          if (!old_leader_.empty() && old_leader_ != candidate_ &&
+              !settings_.injected_defects.skip_demotion) {
+            host_.SendCommand(group_.Name(), old_leader_,
+                              server_command::kDemote, status->term,
+                              [](std::optional<sessions::server_status>) {});
+          }
           Finish(candidate_);
           return;
         }
@@ -526,11 +674,17 @@
 
 void primary_change::RetryOrAbandon(const char* reason) {
   host_.LogChange(group_.Name(), "change_wait", reason);
+  failed_rounds_ += 1;
   if (host_.Now() - started_ > settings_.preparation_limit) {
-    if (holds_placed_ && LeaderAnswers()) {
-      promote_tries_ = 0;
-      step_ = step::kReleasingHolds;
-      ReleaseHolds();
+    if (holds_placed_ && LeaderAnswers() && !releasing_holds_) {
+      releasing_holds_ = true;
+      if (settings_.fencing) {
+        Fence();
+      } else if (outstanding_.empty()) {
+        ReleaseHolds();
+      } else {
+        Abandon(reason);
+      }
     } else {
       Abandon(reason);
     }
@@ -540,37 +694,117 @@
   host_.SetTimer(group_.Name(), settings_.retry_pause);
 }
 
-void primary_change::ReleaseHolds() {
-  step_ = step::kReleasingHolds;
-  promote_tries_ += 1;
-  if (promote_tries_ > kMaxPromoteTries) {
-    Abandon("lift");
+bool primary_change::IsPromotionOutstanding() const {
+  // A promotion of the present leader changes nothing.
+  return std::any_of(outstanding_.begin(), outstanding_.end(),
+                     [this](const auto& each) {
+                       return !leader_answered_ || each != old_leader_;
+                     });
+}
+
+bool primary_change::IsOutstandingCandidateIntact() const {
+  if (outstanding_.size() != 1 || failed_rounds_ > 0) {
+    return false;
+  }
+  const std::string& server = *outstanding_.begin();
+  const sessions::server_status* status = StatusOf(server);
+  const group_state::server* listed = group_.Find(server);
+  const bool intact = status != nullptr && listed != nullptr &&
+                      !listed->entry.draining && !status->is_primary &&
+                      server == candidate_ &&
+                      status->received >= candidate_position_;
+  return intact &&
+         std::none_of(answers_.begin(), answers_.end(), [&](const auto& each) {
+           return each.first != old_leader_ && each.second.status.has_value() &&
+                  each.second.status->received > status->received;
+         });
+}
+
+bool primary_change::NeedsFence() const {
+  return settings_.fencing && leader_answered_ && IsPromotionOutstanding() &&
+         !IsOutstandingCandidateIntact() && fence_tries_ < kMaxPromoteTries;
+}
+
+void primary_change::Fence() {
+  step_ = step::kFencing;
+  if (++fence_tries_ > kMaxPromoteTries) {
+    Abandon("fence");
+    return;
+  }
+  if (!IsClaimValid()) {
+    ClaimAgain("claim_aged");
     return;
   }
   // Promoting the current leader changes only the newest accepted token, so
-  // that no earlier call can be carried out any more.
+  // that no earlier call can be carried out any more. Its status is asked again
+  // first, because an earlier call may just have been carried out.
   const std::uint64_t round = ++request_round_;
-  host_.Promote(
-      group_.Name(), old_leader_, token_,
-      [this, round](store::promotion_status status) {
-        if (round != request_round_ || step_ != step::kReleasingHolds) {
+  host_.SendCommand(
+      group_.Name(), old_leader_, server_command::kStatus, 0,
+      [this, round](std::optional<sessions::server_status> status) {
+        if (round != request_round_ || step_ != step::kFencing) {
           return;
         }
-        if (status != store::promotion_status::kAccepted) {
-          host_.SetTimer(group_.Name(), settings_.retry_pause);
+        if (!status.has_value() || !status->is_primary) {
+          RetryOrAbandon("leader_lost");
           return;
         }
-        for (const auto& [id, answer] : answers_) {
-          if (id != old_leader_) {
-            host_.SendCommand(group_.Name(), id, server_command::kResume, 0,
-                              [](std::optional<sessions::server_status>) {});
-          }
-        }
-        holds_placed_ = false;
-        Abandon("lifted");
+        host_.LogChange(group_.Name(), "fence",
+                        old_leader_ + " token " + std::to_string(token_));
+        outstanding_.insert(old_leader_);
+        host_.Promote(
+            group_.Name(), old_leader_, token_,
+            [this, round](store::promotion_status result) {
+              if (round == request_round_ && step_ == step::kFencing) {
+                OnFenced(result);
+              }
+            });
       });
 }
 
+void primary_change::OnFenced(store::promotion_status status) {
+  switch (status) {
+    case store::promotion_status::kAccepted:
+      outstanding_.clear();
+      is_fenced_ = true;
+      step_ = step::kAwaitingFence;
+      host_.SetTimer(group_.Name(), settings_.longest_promotion);
+      return;
+    case store::promotion_status::kSuperseded:
+      Abandon("superseded");
+      return;
+    case store::promotion_status::kRefused:
+      host_.SetTimer(group_.Name(), settings_.retry_pause);
+      return;
+    case store::promotion_status::kUnknown:
+      ClaimAgain("fence_unanswered");
+      return;
+  }
+}
+
+void primary_change::ReleaseHolds() {
+  for (const auto& [id, answer] : answers_) {
+    if (id != old_leader_) {
+      host_.SendCommand(group_.Name(), id, server_command::kResume, 0,
+                        [](std::optional<sessions::server_status>) {});
+    }
+  }
+  holds_placed_ = false;
+  Abandon("lifted");
+}
+
+void primary_change::SettleClaim() {
+  if (IsPromotionOutstanding() || claim_.token != token_ || claim_.settled ||
+      token_ == 0) {
+    return;
+  }
+  outstanding_.clear();
+  claim_.settled = true;
+  const group_claim& settled = claim_;
+  host_.WriteClaim(group_.Name(), settled,
+                   [](store::call_status, store::row_version) {});
+}
+
 void primary_change::Abandon(const char* reason) {
   host_.LogChange(group_.Name(), "change_end", reason);
   Finish("");
@@ -581,8 +815,12 @@
   if (!leader.empty()) {
     blocked_since_ = {};
   }
+  SettleClaim();
   request_round_ += 1;
   nonce_ = 0;
+  if (settings_.fencing && IsPromotionOutstanding()) {
+    host_.SetTimer(group_.Name(), settings_.settle_pause);
+  }
   host_.OnChangeDone(group_.Name(), leader, group_.LeaderTerm());
 }
 
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
   kCommitsStalled,
   /// The group has no leader.
   kNoLeader,
+  /// A promotion that got no answer may still be carried out.
+  kUnsettled,
 };
 
 /// @return the name of a reason in logs, a string of static storage.
@@ -42,12 +45,16 @@
   std::uint64_t nonce = 0;
   /// Time of the claim by the store's clock.
   core::milliseconds claimed_at{0};
+  /// Whether no promotion under this token or an earlier one can be carried out
+  /// any more, as far as its holder knows. While it is false, a promotion that
+  /// got no answer may still be carried out.
+  bool settled = false;
   store::row_version version = 0;
 };
 
 /// A command to a backend server: report the status, hold replication (receive
-/// nothing more), or end the hold.
-enum class server_command : std::uint8_t { kStatus, kHold, kResume };
+/// nothing more), end the hold, or follow the leader of a later term.
+enum class server_command : std::uint8_t { kStatus, kHold, kResume, kDemote };
 
 /// Services that `primary_change` needs from its process. Callbacks are called
 /// later, never during the call that they are passed to.
@@ -55,6 +62,9 @@
  public:
   virtual ~change_host() = default;
   virtual core::time_point Now() const = 0;
+  /// @return how long this machine has been suspended since its start; `Now`
+  /// does not count that time.
+  virtual core::duration SuspendedTime() const = 0;
   /// Reads the group's claim.
   /// @param done receives the claim and the time by the store's clock. The
   /// claim is nothing if the store did not answer, and has version 0 if there
@@ -63,12 +73,14 @@
                          std::function<void(std::optional<group_claim>,
                                             core::milliseconds)> done) = 0;
   /// Replaces the claim if its row still has the version of `claim`.
-  /// @param done receives the result of the call.
-  virtual void WriteClaim(const std::string& group,
-                          const group_claim& claim,
-                          std::function<void(store::call_status)> done) = 0;
+  /// @param done receives the result of the call and, if it was done, the new
+  /// version of the row.
+  virtual void WriteClaim(
+      const std::string& group,
+      const group_claim& claim,
+      std::function<void(store::call_status, store::row_version)> done) = 0;
   /// Sends a command to a server.
-  /// @param term term of a hold; other commands ignore it.
+  /// @param term term of a hold or a demotion; other commands ignore it.
   /// @param done receives the server's status, or nothing if there was no
   /// usable answer.
   virtual void SendCommand(
@@ -114,6 +126,10 @@
   bool ignore_unknown_replicas = false;
   /// Uses the token of the claim that was read instead of claiming a new one.
   bool reuse_token = false;
+  /// Promotes under a claim of any age.
+  bool ignore_claim_age = false;
+  /// Leaves the old leader as it is.
+  bool skip_demotion = false;
 };
 
 /// Limits of a change of primary.
@@ -123,6 +139,17 @@
   /// Time for which the claim of another instance is respected: the longest
   /// promotion with its preparation.
   core::milliseconds claim_validity{2500};
+  /// Whether the platform refuses promotions with outdated tokens.
+  bool fencing = true;
+  /// Pause before an instance tries again to fence off a promotion that got no
+  /// answer: its own claim has then expired.
+  core::milliseconds settle_pause{2500};
+  /// A promotion is ordered only this long before the end of the validity: the
+  /// longest time that the call takes if it is answered at all.
+  core::milliseconds claim_margin{500};
+  /// Time within which an accepted promotion takes effect: the longest one of
+  /// the users' databases, with a margin.
+  core::milliseconds longest_promotion{800};
   /// Pause before a step is retried.
   core::milliseconds retry_pause{100};
   /// Longest preparation before the holds are released.
@@ -156,8 +183,11 @@
 /// commits acknowledged before the removal.
 ///
 /// All steps run under a fencing token claimed in the store. A promotion that
-/// got no answer may still be carried out later. Holds therefore end only by a
-/// promotion, or after a promotion under the same token was accepted.
+/// got no answer may still be carried out later. If the old leader still leads,
+/// it is then promoted under a new token, which changes nothing but fences the
+/// earlier call off, and the change goes on once a promotion that was accepted
+/// before has taken effect. Holds end only by a promotion or after such a
+/// fence.
 class primary_change {
  public:
   /// References must outlive the change.
@@ -184,11 +214,16 @@
     kHolding,
     /// Waits until the candidate has the commits of the held replicas.
     kComparing,
+    /// Demotes the old leader, because a server that is not held could confirm
+    /// its commits.
+    kDemoting,
     kPromoting,
     /// Waits until the candidate is the leader.
     kAwaitingPromotion,
-    /// Releases the holds under an accepted token.
-    kReleasingHolds,
+    /// Promotes the present leader, to fence off earlier promotions.
+    kFencing,
+    /// Waits until a promotion accepted before the fence has taken effect.
+    kAwaitingFence,
   };
   struct server_answer {
     std::optional<sessions::server_status> status;
@@ -219,11 +254,29 @@
   bool HasAllLeaderCommits(core::log_position candidate) const;
   /// Claims a higher token because a call under the current one got no answer.
   void ClaimAgain(const char* reason);
+  /// @return whether a server that is not held could confirm commits.
+  bool MayUnheldServerConfirm() const;
+  void DemoteOldLeader();
+  void OnDemoted(std::optional<sessions::server_status> status);
+  /// @return whether no other instance can have claimed the group since.
+  bool IsClaimValid() const;
   void Promote();
   void OnPromoted(store::promotion_status status);
   void HoldReplicas();
   void CheckPromotion();
+  /// @return whether a promotion that got no answer may still be carried out at
+  /// a server other than the present leader.
+  bool IsPromotionOutstanding() const;
+  /// @return whether such a promotion does harm and can be fenced off.
+  bool NeedsFence() const;
+  /// @return whether the server of all outstanding promotions still has the log
+  /// that it had then, and its promotion can be repeated at once.
+  bool IsOutstandingCandidateIntact() const;
+  void Fence();
+  void OnFenced(store::promotion_status status);
   void ReleaseHolds();
+  /// Records in the store that no promotion is outstanding.
+  void SettleClaim();
   void Abandon(const char* reason);
   /// Restarts from the query of the servers, or ends the change if its
   /// preparation has taken too long.
@@ -251,6 +304,20 @@
   std::uint64_t request_round_ = 0;
   std::uint64_t token_ = 0;
   std::uint64_t nonce_ = 0;
+  /// The claim as written by this instance.
+  group_claim claim_;
+  /// When the claim that this one replaced was read.
+  core::time_point claim_read_;
+  core::duration suspended_at_claim_{0};
+  /// Servers of the promotions, of this or an earlier change, that may still be
+  /// carried out; `kUnknownServer` for one of another instance.
+  std::set<std::string> outstanding_;
+  /// Position of the candidate when its promotion was ordered.
+  core::log_position candidate_position_;
+  /// Whether a promotion of the present leader was accepted under the token.
+  bool is_fenced_ = false;
+  /// Whether the holds are to be released after the fence.
+  bool releasing_holds_ = false;
   core::term_number hold_term_ = 0;
   /// Last known leader when the change started.
   std::string initial_leader_;
@@ -262,6 +329,9 @@
   int pending_answers_ = 0;
   bool holds_placed_ = false;
   int promote_tries_ = 0;
+  int fence_tries_ = 0;
+  /// Preparations that failed since the last claim.
+  int failed_rounds_ = 0;
 };
 
 }  // namespace plantaintiller::replication
--- a/plantaintiller/sessions/codec.h
+++ b/plantaintiller/sessions/codec.h
@@ -86,6 +86,8 @@
   /// Appends the hold command, after which the server receives nothing more.
   /// @param term a term above the newest one of the group.
   virtual void AppendHold(std::string& out, core::term_number term) = 0;
+  /// Appends the command that makes a leader of a lower term a replica.
+  virtual void AppendDemote(std::string& out, core::term_number term) = 0;
   /// Appends the command that ends a hold.
   virtual void AppendResume(std::string& out) = 0;
   /// Decodes the first answer in a buffer and removes it.
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -643,6 +643,9 @@
   if (proves_leadership && group != nullptr && reply.position.has_value()) {
     group->Proofs().OnProof(sent_, *reply.position);
     group->OnLeaderSeen(server_, reply.position->entry_term, host_.Now());
+    if (committed) {
+      host_.OnCommitConfirmed(route_->group, server_, sent_);
+    }
   }
   const bool at_leader = group != nullptr && group->Leader() == server_;
   host_.CountStatement(&*route_, at_leader, host_.Now() - arrived_, nullptr);
--- a/plantaintiller/sessions/session_host.h
+++ b/plantaintiller/sessions/session_host.h
@@ -67,6 +67,11 @@
   virtual void CancelLeadershipCheck(
       const std::string& group,
       replication::leadership_check_listener& listener) = 0;
+  /// Called when a commit was acknowledged that a replica has confirmed.
+  /// @param sent time at which it was sent.
+  virtual void OnCommitConfirmed(const std::string& group,
+                                 const std::string& server,
+                                 core::time_point sent) = 0;
   /// Sends bytes to the caller.
   virtual void Reply(const std::string& bytes) = 0;
   /// Closes the caller's connection once the bytes sent before are written.
--- a/tests/model/change_world_test.cpp
+++ b/tests/model/change_world_test.cpp
@@ -38,9 +38,17 @@
   return text;
 }
 
-bool IsDetected(const replication::injected_change_defects& defects) {
+/// A platform on which a replaced leader goes on until it is demoted and
+/// outdated tokens are not refused, with partitions between servers.
+change_world_settings UnfencedSettings() {
   change_world_settings settings;
-  settings.defects = defects;
+  settings.old_leader_goes_on = true;
+  settings.fencing = false;
+  settings.partitions = true;
+  return settings;
+}
+
+bool IsDetected(const change_world_settings& settings) {
   for (std::uint64_t seed = 1; seed <= kMaxSeedsWithDefect; ++seed) {
     if (!SimulatePrimaryChanges(settings, seed).violations.empty()) {
       return true;
@@ -49,6 +57,12 @@
   return false;
 }
 
+bool IsDetected(const replication::injected_change_defects& defects) {
+  change_world_settings settings;
+  settings.defects = defects;
+  return IsDetected(settings);
+}
+
 }  // namespace
 
 TEST_CASE("change_world: no acknowledged commit is lost, no token shared") {
@@ -63,6 +77,18 @@
   CHECK(promotions > static_cast<int>(LastSeed() - first) / 2);
 }
 
+TEST_CASE("change_world: a replaced leader that goes on causes no stale read") {
+  int reads = 0;
+  const std::uint64_t first = FromEnvironment("PT_FIRST_SEED", 1);
+  for (std::uint64_t seed = first; seed <= LastSeed(); ++seed) {
+    const change_world_result run =
+        SimulatePrimaryChanges(UnfencedSettings(), seed);
+    CHECK_MESSAGE(run.violations.empty(), Describe(seed, run));
+    reads += run.reads;
+  }
+  CHECK(reads > static_cast<int>(LastSeed() - first) * 100);
+}
+
 TEST_CASE(
     "change_world: a planned replacement stops commits for 300 ms at most") {
   // The old leader serves until the new one does, so commits stop for no longer
@@ -114,4 +140,28 @@
   CHECK(IsDetected({.reuse_token = true}));
 }
 
+TEST_CASE("change_world defect: the leader's own word is trusted") {
+  change_world_settings settings = UnfencedSettings();
+  settings.check_defects.trust_leader = true;
+  CHECK(IsDetected(settings));
+}
+
+TEST_CASE("change_world defect: one replica that is not held is enough") {
+  change_world_settings settings = UnfencedSettings();
+  settings.check_defects.ask_one_replica = true;
+  CHECK(IsDetected(settings));
+}
+
+TEST_CASE("change_world defect: a check that began before the read is used") {
+  change_world_settings settings = UnfencedSettings();
+  settings.check_defects.join_running_round = true;
+  CHECK(IsDetected(settings));
+}
+
+TEST_CASE("change_world defect: a promotion under an outdated claim") {
+  change_world_settings settings = UnfencedSettings();
+  settings.defects.ignore_claim_age = true;
+  CHECK(IsDetected(settings));
+}
+
 }  // namespace plantaintiller::model
--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -102,6 +102,11 @@
                              replication::leadership_check_listener&) override {
     check_pending = false;
   }
+  void OnCommitConfirmed(const std::string&,
+                         const std::string&,
+                         core::time_point) override {
+    commits_confirmed += 1;
+  }
   void Reply(const std::string& bytes) override { replies += bytes; }
   void Close() override { closed = true; }
   void SetTimer(core::time_point when) override { timer = when; }
@@ -135,6 +140,7 @@
   bool permits_free = true;
   int checks_requested = 0;
   bool check_pending = false;
+  int commits_confirmed = 0;
   int permits_requested = 0;
   int permits_released = 0;
   int permits_cancelled = 0;
--- a/tests/replication/leadership_check_test.cpp
+++ b/tests/replication/leadership_check_test.cpp
@@ -95,32 +95,40 @@
 
 }  // namespace
 
-TEST_CASE("leadership_check: a replica that is not held confirms the leader") {
+TEST_CASE("leadership_check: all other servers confirm the leader") {
   check_fixture world;
   result_listener listener;
   world.check.Request("a", listener);
-  CHECK(world.queries.size() == 1);
+  CHECK(world.queries.size() == 2);
   world.Answer("b", Replica(3));
+  CHECK(listener.results.empty());
+  world.Answer("c", Replica(3, 4));
   CHECK(listener.results == results{leadership_result::kConfirmed});
 }
 
-TEST_CASE("leadership_check: after a held replica the candidate is asked") {
+// A promotion ends the hold of a replica, which then received nothing for two
+// seconds and learned the new term only later. (Seen on the day trouble-3 of
+// wirnik-diag-grown: 5 and 10 stale reads.)
+TEST_CASE("leadership_check: one replica alone confirms nothing") {
   check_fixture world;
   result_listener listener;
   world.check.Request("a", listener);
-  world.Answer("b", Replica(3, 4));
-  CHECK(listener.results.empty());
-  world.Answer("c", Replica(3));
-  CHECK(listener.results == results{leadership_result::kConfirmed});
+  world.Answer("b", Replica(3));
+  world.Answer("c", std::nullopt);
+  world.FireTimer();
+  CHECK(listener.results == results{leadership_result::kUnproven});
 }
 
-TEST_CASE("leadership_check: one held replica alone confirms nothing") {
+TEST_CASE("leadership_check: a later commit replaces a missing answer") {
   check_fixture world;
   result_listener listener;
   world.check.Request("a", listener);
-  world.Answer("b", Replica(3, 4));
-  world.Answer("c", std::nullopt);
-  CHECK(listener.results == results{leadership_result::kUnproven});
+  world.Answer("b", Replica(3));
+  world.check.OnCommitConfirmed("a", world.now - milliseconds(1));
+  world.check.OnCommitConfirmed("b", world.now);
+  CHECK(listener.results.empty());
+  world.check.OnCommitConfirmed("a", world.now);
+  CHECK(listener.results == results{leadership_result::kConfirmed});
 }
 
 TEST_CASE("leadership_check: the old leader's own answer confirms nothing") {
@@ -129,6 +137,7 @@
   world.check.Request("a", listener);
   world.Answer("b", Primary(2));
   world.Answer("c", std::nullopt);
+  world.FireTimer();
   CHECK(listener.results == results{leadership_result::kUnproven});
   CHECK(world.group.Leader() == "a");
 }
@@ -151,6 +160,9 @@
     world.Answer("b", Replica(4));
     CHECK(listener.results.empty());
     world.Answer("a", Primary(own));
+    if (own == 4) {
+      world.Answer("c", Replica(3));
+    }
     CHECK(listener.results == results{own == 4
                                           ? leadership_result::kConfirmed
                                           : leadership_result::kLeaderChanged});
@@ -173,22 +185,11 @@
   CHECK(listener.results == results{leadership_result::kLeaderChanged});
 }
 
-TEST_CASE("leadership_check: the next server is asked after a pause") {
-  check_fixture world;
-  result_listener listener;
-  world.check.Request("a", listener);
-  world.FireTimer();
-  CHECK(world.queries.size() == 2);
-  world.Answer("c", Replica(3));
-  CHECK(listener.results == results{leadership_result::kConfirmed});
-}
-
 TEST_CASE("leadership_check: without answers requests fail, then at once") {
   check_fixture world;
   result_listener first;
   world.check.Request("a", first);
   world.FireTimer();
-  world.FireTimer();
   CHECK(first.results == results{leadership_result::kUnproven});
   world.queries.clear();
   result_listener second;
@@ -200,7 +201,14 @@
   world.now += milliseconds(250);
   result_listener third;
   world.check.Request("a", third);
-  CHECK(world.queries.size() == 1);
+  CHECK(world.queries.size() == 2);
+  // While commits are confirmed, a request waits for one.
+  world.FireTimer();
+  world.check.OnCommitConfirmed("a", world.now);
+  world.queries.clear();
+  result_listener fourth;
+  world.check.Request("a", fourth);
+  CHECK(world.queries.size() == 2);
 }
 
 // Load: many reads arrive within one round trip.
@@ -210,15 +218,17 @@
   for (result_listener& each : listeners) {
     world.check.Request("a", each);
   }
-  CHECK(world.check.Queries() == 1);
+  CHECK(world.check.Queries() == 2);
   world.Answer("b", Replica(3));
+  world.Answer("c", Replica(3));
   CHECK(listeners[0].results.size() == 1);
   CHECK(listeners[1].results.empty());
   world.Answer("b", Replica(3));
+  world.Answer("c", Replica(3));
   for (const result_listener& each : listeners) {
     CHECK(each.results == results{leadership_result::kConfirmed});
   }
-  CHECK(world.check.Queries() == 2);
+  CHECK(world.check.Queries() == 4);
 }
 
 // A read was sent to the old leader, and the check that it waited for was made
@@ -236,27 +246,6 @@
   CHECK(second.results == results{leadership_result::kLeaderChanged});
 }
 
-TEST_CASE("leadership_check: a new server alone confirms nothing") {
-  check_fixture world;
-  world.List({"a", "b", "d"});
-  result_listener listener;
-  world.check.Request("a", listener);
-  world.Answer("b", std::nullopt);
-  world.Answer("d", Replica(3));
-  CHECK(listener.results == results{leadership_result::kUnproven});
-}
-
-TEST_CASE("leadership_check: all others that are not held confirm the leader") {
-  check_fixture world;
-  world.List({"a", "d", "e"});
-  result_listener listener;
-  world.check.Request("a", listener);
-  world.Answer("d", Replica(3));
-  CHECK(listener.results.empty());
-  world.Answer("e", Replica(3));
-  CHECK(listener.results == results{leadership_result::kConfirmed});
-}
-
 TEST_CASE("leadership_check: a group of one server is confirmed later") {
   check_fixture world;
   world.List({"a"});
@@ -273,6 +262,7 @@
   world.check.Request("a", listener);
   world.check.Cancel(listener);
   world.Answer("b", Replica(3));
+  world.Answer("c", Replica(3));
   CHECK(listener.results.empty());
 }
 
--- a/tests/soak/database_group.py
+++ b/tests/soak/database_group.py
@@ -252,6 +252,11 @@
             server.held_term = max(server.held_term, int(rest))
         return self.status_reply()
 
+    async def on_demote(self, _query_id, rest):
+        if int(rest) > self.server.term:
+            self.server.is_leader = False
+        return self.status_reply()
+
     async def on_resume(self, _query_id, _rest):
         self.server.held_term = 0
         return self.status_reply()
