A claim's age counts from the read before its write; former leaders never stay

Causes, by the model: a claim whose write got no answer was found again later and counted as new, so a lower token was sent after a higher one; a change took a primary of an earlier term for the leader that stays.

--- a/plantaintiller/model/change_faults.cpp
+++ b/plantaintiller/model/change_faults.cpp
@@ -22,7 +22,8 @@
       restarted->incarnation += 1;
     }
     const bool reaches_leader = leader != nullptr && leader != restarted &&
-                                leader->side == restarted->side;
+                                leader->side == restarted->side &&
+                                (empty || leader->term >= restarted->term);
     if (reaches_leader) {
       restarted->is_leader = false;
       restarted->term = leader->term;
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -117,18 +117,20 @@
     return;
   }
   const std::uint64_t round = ++request_round_;
-  claim_read_ = host_.Now();
-  suspended_at_claim_ = host_.SuspendedTime();
-  host_.ReadClaim(group_.Name(), [this, round](std::optional<group_claim> claim,
-                                               core::milliseconds store_now) {
+  const core::time_point read_at = host_.Now();
+  const core::duration suspended = host_.SuspendedTime();
+  host_.ReadClaim(group_.Name(), [this, round, read_at, suspended](
+                                     std::optional<group_claim> claim,
+                                     core::milliseconds store_now) {
     if (round == request_round_ && step_ == step::kClaiming) {
-      OnClaim(std::move(claim), store_now);
+      OnClaim(std::move(claim), store_now, {read_at, suspended});
     }
   });
 }
 
 void primary_change::OnClaim(std::optional<group_claim> claim,
-                             core::milliseconds store_now) {
+                             core::milliseconds store_now,
+                             const read_time& read) {
   if (!claim.has_value()) {
     host_.SetTimer(group_.Name(), settings_.retry_pause);
     return;
@@ -167,6 +169,7 @@
   next.claimed_at = store_now;
   next.settled = false;
   nonce_ = next.nonce;
+  claim_read_ = read;
   const std::uint64_t round = ++request_round_;
   host_.WriteClaim(group_.Name(), next,
                    [this, round, next](store::call_status status,
@@ -282,14 +285,23 @@
 }
 
 void primary_change::UpdateOldLeader() {
-  // A former leader may go on until it is demoted.
+  core::term_number newest = group_.LeaderTerm();
+  for (const auto& [id, answer] : answers_) {
+    if (answer.status.has_value()) {
+      newest = std::max(newest, answer.status->term);
+    }
+  }
   std::string primary;
-  core::term_number newest = 0;
   for (const auto& [id, answer] : answers_) {
-    if (answer.status.has_value() && answer.status->is_primary &&
-        answer.status->term >= newest) {
+    if (!answer.status.has_value() || !answer.status->is_primary) {
+      continue;
+    }
+    if (answer.status->term == newest) {
       primary = id;
-      newest = answer.status->term;
+    } else if (!settings_.injected_defects.skip_demotion) {
+      // A former leader goes on until it is demoted or reaches the new one.
+      host_.SendCommand(group_.Name(), id, server_command::kDemote, newest,
+                        [](std::optional<sessions::server_status>) {});
     }
   }
   leader_answered_ = !primary.empty();
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -225,13 +225,20 @@
     /// Waits until a promotion accepted before the fence has taken effect.
     kAwaitingFence,
   };
+  /// Time at which a row was read, with the suspended time by then.
+  struct read_time {
+    core::time_point at;
+    core::duration suspended{0};
+  };
   struct server_answer {
     std::optional<sessions::server_status> status;
   };
   using answers = std::map<std::string, server_answer>;
 
   void Claim();
-  void OnClaim(std::optional<group_claim> claim, core::milliseconds store_now);
+  void OnClaim(std::optional<group_claim> claim,
+               core::milliseconds store_now,
+               const read_time& read);
   void OnClaimWritten(const group_claim& claim, store::call_status status);
   void QueryServers(step next);
   void OnAnswer(std::uint64_t round,
@@ -307,8 +314,7 @@
   /// The claim as written by this instance.
   group_claim claim_;
   /// When the claim that this one replaced was read.
-  core::time_point claim_read_;
-  core::duration suspended_at_claim_{0};
+  read_time claim_read_;
   /// Servers of the promotions, of this or an earlier change, that may still be
   /// carried out; `kUnknownServer` for one of another instance.
   std::set<std::string> outstanding_;
