--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -577,8 +577,8 @@
   if (settings_.injected_defects.ignore_claim_age) {
     return true;
   }
-  const core::duration age =
-      host_.Now() - claim_read_ + host_.SuspendedTime() - suspended_at_claim_;
+  const core::duration age = host_.Now() - claim_read_.at +
+                             host_.SuspendedTime() - claim_read_.suspended;
   return age < settings_.claim_validity - settings_.claim_margin;
 }
 
