--- a/plantaintiller/cli/interview.cpp
+++ b/plantaintiller/cli/interview.cpp
@@ -99,9 +99,13 @@
             {{prefix + "availability zone?", "Spread them over zones.", zone},
              {prefix + "IP address?", "Numeric.", "127.0.0.1"},
              {prefix + "port?", "PostgreSQL's is 5432.", "5432"}}));
-    database.servers.push_back(
-        {server_texts[0], server_texts[1],
-         static_cast<std::uint16_t>(NumberOf(server_texts[2])), false});
+    const std::int64_t port = NumberOf(server_texts[2]);
+    if (port < 1 || port > UINT16_MAX) {
+      return core::Fail(core::error_type::kBadConfiguration, prefix + "port",
+                        "\"" + server_texts[2] + "\" must be 1 to 65535");
+    }
+    database.servers.push_back({server_texts[0], server_texts[1],
+                                static_cast<std::uint16_t>(port), false});
   }
   return database;
 }
--- a/plantaintiller/cli/published_configuration.cpp
+++ b/plantaintiller/cli/published_configuration.cpp
@@ -37,8 +37,13 @@
       boost::json::serialize(config::ToJson(configuration));
   boost::leaf::try_handle_all(
       [&]() -> core::result<void> {
-        BOOST_LEAF_CHECK(BlockingRequest(
-            platform, {"PUT", StoredVersionTarget(version), body}));
+        BOOST_LEAF_AUTO(
+            answer, BlockingRequest(
+                        platform, {"PUT", StoredVersionTarget(version), body}));
+        if (answer.status != kOk) {
+          return core::Fail(core::error_type::kUnavailable, "platform",
+                            answer.body);
+        }
         return {};
       },
       [version] {
@@ -56,7 +61,12 @@
   }
   BOOST_LEAF_AUTO(configuration,
                   config::ConfigurationFromJson(row->at("value")));
-  configuration.version = row->at("version").to_number<std::uint64_t>();
+  boost::system::error_code error;
+  configuration.version = row->at("version").to_number<std::uint64_t>(error);
+  if (error) {
+    return core::Fail(core::error_type::kBadConfiguration, "platform",
+                      "the row's version is not a number");
+  }
   return configuration;
 }
 
--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -352,6 +352,9 @@
 void leader_controller::implementation::SetTimer(const std::string& group,
                                                  core::milliseconds pause) {
   monitored_group* each = Find(group);
+  if (each == nullptr) {
+    return;
+  }
   each->change_timer.expires_after(pause);
   each->change_timer.async_wait(
       [self = shared_from_this(), each](error_code cancelled) {
@@ -365,6 +368,9 @@
                                                      const std::string& leader,
                                                      core::term_number term) {
   monitored_group* each = Find(group);
+  if (each == nullptr) {
+    return;
+  }
   log_line(dependencies_.log, "groups", "leader")
       .With("group", group)
       .With("server", leader)
--- a/plantaintiller/tables/platform_codec.cpp
+++ b/plantaintiller/tables/platform_codec.cpp
@@ -64,6 +64,24 @@
   return record;
 }
 
+decisions::compare_and_set_status CompareAndSetStatusOf(int http_status) {
+  using decisions::compare_and_set_status;
+  constexpr int kFirstServerError = 500;
+  constexpr int kUnavailable = 503;
+  switch (http_status) {
+    case 200:
+      return compare_and_set_status::kApplied;
+    case 404:
+    case 409:
+      return compare_and_set_status::kConflict;
+    default:
+      // Other server errors may have occurred after the change.
+      return http_status < kFirstServerError || http_status == kUnavailable
+                 ? compare_and_set_status::kUnavailable
+                 : compare_and_set_status::kUnknown;
+  }
+}
+
 std::vector<core::instance_entry> InstanceListFromJson(const value& json) {
   std::vector<core::instance_entry> list;
   const object* fields = json.if_object();
--- a/plantaintiller/tables/platform_codec.h
+++ b/plantaintiller/tables/platform_codec.h
@@ -7,6 +7,7 @@
 
 #include "plantaintiller/core/configuration.h"
 #include "plantaintiller/core/group_record.h"
+#include "plantaintiller/decisions/instance_actions.h"
 
 namespace plantaintiller::tables {
 
@@ -24,6 +25,10 @@
     const boost::json::value& json,
     std::uint64_t version);
 
+/// @param http_status status of the platform's answer to a compare-and-set.
+/// @return what the answer tells about the change.
+decisions::compare_and_set_status CompareAndSetStatusOf(int http_status);
+
 /// Parses the list of instances; skips malformed entries.
 std::vector<core::instance_entry> InstanceListFromJson(
     const boost::json::value& json);
--- a/plantaintiller/tables/platform_duty.cpp
+++ b/plantaintiller/tables/platform_duty.cpp
@@ -16,7 +16,6 @@
 constexpr core::milliseconds kTimeout{500};
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
 
 std::string RowTarget(const std::string& key) {
   return "/v1/rows/" + key;
@@ -95,20 +94,20 @@
                        const http::response& answer) {
         compare_and_set_event result;
         result.database = database;
-        if (status == http::exchange_status::kNotSent ||
-            (status == http::exchange_status::kAnswered &&
-             answer.status == 503)) {
+        if (status == http::exchange_status::kNotSent) {
           result.status = decisions::compare_and_set_status::kUnavailable;
-        } else if (AnsweredWithoutServerError(status, answer)) {
+        } else if (status == http::exchange_status::kAnswered) {
+          result.status = CompareAndSetStatusOf(answer.status);
           const std::optional<row> current_row = ParseRow(answer.body);
           if (current_row.has_value()) {
             result.current =
                 GroupRecordFromJson(current_row->value, current_row->version);
           }
-          result.status =
-              answer.status == kConflict || answer.status == kNotFound
-                  ? decisions::compare_and_set_status::kConflict
-                  : decisions::compare_and_set_status::kApplied;
+          if (result.status ==
+              decisions::compare_and_set_status::kUnavailable) {
+            LOG(WARNING) << "platform: record refused. database="
+                         << database.value << " status=" << answer.status;
+          }
         }
         Send(result);
       });
--- a/tests/cli/interview_test.cpp
+++ b/tests/cli/interview_test.cpp
@@ -38,6 +38,16 @@
   CHECK(out.str().find("a whole number, please") != std::string::npos);
 }
 
+TEST_CASE("interview: a port above 65535 is an error") {
+  // Port 70000 was accepted as 4464.
+  for (const char* port : {"70000", "0", "5432x"}) {
+    std::istringstream in("s\nnorth\n\n1\nkeys\nissue\n\n2000\n\n\n\n" +
+                          std::string(port) + "\n\n\n7002\n");
+    std::ostringstream out;
+    CHECK_FALSE(interview(in, out).Ask().has_value());
+  }
+}
+
 TEST_CASE("interview: input that ends early is an error") {
   std::istringstream in("only-a-name\n");
   std::ostringstream out;
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -18,6 +18,8 @@
         self.groups = {group.name: group for group in groups}
         self.host, self.port = host, port
         self.rows, self.changes, self.version = {}, [], 0
+        # Raised by each restore; (time, rows, version) of earlier moments.
+        self.era, self.copies = 0, []
         self.changed = asyncio.Event()
         # "up", "busy" (answers 503) or "silent" (does not answer).
         self.mode = "up"
@@ -25,6 +27,7 @@
         self.delay = 0.002
         self.started = time.monotonic()
         self.random = None
+        self.configuration = ""
 
     async def start(self):
         await asyncio.start_server(self.serve, self.host, self.port)
@@ -32,6 +35,8 @@
 
     def put(self, table, part, key, value):
         self.version += 1
+        if (table, key) == ("op", "config"):
+            self.configuration = value
         encoded = base64.b64encode(value.encode()).decode()
         row = {
             "table": table, "part": part, "key": key,
@@ -42,6 +47,22 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore_older_copy(self):
+        """Replaces all rows by those of some seconds ago."""
+        _, rows, version = self.copies[0]
+        self.rows, self.version = dict(rows), version
+        self.changes = [row for row in self.changes if row["row-version"] <= version]
+        self.era += 1
+        self.copies = []
+        # The operator writes again what it wrote since.
+        if self.configuration:
+            self.put("op", "", "config", self.configuration)
+
+    def keep_copy(self):
+        now = time.monotonic()
+        self.copies = [each for each in self.copies if now - each[0] < 3.0]
+        self.copies.append((now, dict(self.rows), self.version))
+
     def remove(self, table, part, key):
         if self.rows.pop((table, part, key), None):
             self.version += 1
@@ -57,6 +78,7 @@
                         self.put("servers", "", server.name, self.server_row(server))
                     elif time.monotonic() - last_alive.get(server.name, 0) > 3.6:
                         self.remove("servers", "", server.name)
+            self.keep_copy()
             await asyncio.sleep(0.4)
 
     def server_row(self, server):
@@ -103,7 +125,8 @@
                 return False
         text = json.dumps(answer).encode()
         writer.write(
-            f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode()
+            f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
+            f"Content-Length: {len(text)}\r\n\r\n".encode()
             + text
         )
         await writer.drain()
@@ -124,7 +147,7 @@
             ]
             return 200, self.envelope(rows)
         if url.path == "/-/rows-feed":
-            return 200, await self.wait_for_changes(query)
+            return await self.wait_for_changes(query)
         if url.path == "/-/rows-tx":
             return self.transact(json.loads(body))
         return 404, {}
@@ -140,14 +163,17 @@
         """Long poll: returns rows newer than `after`, or none after `wait-ms`."""
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
         after = int(query["after"])
+        era = self.era
         while True:
+            if after > self.version or self.era != era:
+                return 410, {}
             rows = [
                 row for row in self.changes
                 if row["table"] == query["table"] and row["row-version"] > after
             ]
             remaining = deadline - time.monotonic()
             if rows or remaining <= 0:
-                return self.envelope(rows)
+                return 200, self.envelope(rows)
             try:
                 async with asyncio.timeout(remaining):
                     await self.changed.wait()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -327,7 +327,8 @@
         kind = rng.choice([
             "kill", "pause", "term", "herd", "reset", "silence", "delay",
             "one_way", "leader_crash", "drain", "deaf", "lost_answers",
-            "store_busy", "store_silent", "store_lost", "configuration",
+            "store_busy", "store_silent", "store_lost", "store_restored",
+            "configuration",
         ])
         if kind == "kill":
             instance.send_signal(signal.SIGKILL)
@@ -363,6 +364,9 @@
         elif kind == "lost_answers":
             server.answer_loss_probability = 0.05
             undo = lambda: setattr(server, "answer_loss_probability", 0.0)
+        elif kind == "store_restored":
+            if platform.copies:
+                platform.restore_older_copy()
         elif kind.startswith("store_"):
             if kind == "store_lost":
                 platform.answer_loss_probability = 0.4
@@ -412,6 +416,7 @@
             self.checker.report_violation(
                 "nothing is served after all faults have ended"
             )
+        self.check_registrations()
         for each in tasks:
             each.cancel()
         # The end of the event loop aborts the stand-ins' connections, which would
@@ -419,6 +424,12 @@
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         self.check_log()
 
+    def check_registrations(self):
+        """Checks that each live instance is registered, also after a restore."""
+        for each in self.instances:
+            if ("instances", "", each.name) not in self.platform.rows:
+                self.checker.report_violation(f"{each.name} is not registered")
+
     def check_log(self):
         leader = self.group.leader()
         if leader is None:
