--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -161,9 +161,10 @@
       const std::vector<std::string>& excluded,
       core::time_point now,
       std::optional<core::log_position> needed = std::nullopt) const;
-  /// @return the listed servers other than the leader, near ones and responsive
-  /// ones first.
-  std::vector<std::string> OthersByDistance() const;
+  /// @return the listed servers other than the leader that may have become the
+  /// leader. A draining replica is never promoted, so it is left out if another
+  /// server is there.
+  std::vector<std::string> PossibleLeaders() const;
   /// @return whether no server of a list may be sent another statement now.
   bool AreSaturated(const std::vector<std::string>& servers,
                     core::time_point now) const;
--- a/plantaintiller/replication/leadership_check.cpp
+++ b/plantaintiller/replication/leadership_check.cpp
@@ -78,7 +78,7 @@
   leader_ = group_.Leader();
   answers_.clear();
   resolving_ = false;
-  others_ = group_.OthersByDistance();
+  others_ = group_.PossibleLeaders();
   if (leader_.empty() || IsHopeless() || others_.empty() ||
       defects_.trust_leader) {
     // The result follows from the timer, never during `Request`.
