--- a/tests/processes/test_soak_cancellation.py
+++ b/tests/processes/test_soak_cancellation.py
@@ -54,10 +54,10 @@
     def test_feed_that_sees_a_change_ends(self):
         async def run():
             platform = platform_standin.Platform([], "127.0.0.1", 0)
-            query = {"after": "9", "wait-ms": "5000", "table": "op"}
+            query = {"after": "0", "wait-ms": "5000", "table": "op"}
             return await ends_if_cancelled_with_answer(
                 lambda: platform.wait_for_changes(query),
-                lambda: platform.put("op", "", "config", "{}"))
+                lambda: platform.put("servers", "", "i-1", "{}"))
 
         self.assertTrue(asyncio.run(run()))
 
