--- a/plantaintiller/cli/standin_commands.cpp
+++ b/plantaintiller/cli/standin_commands.cpp
@@ -23,15 +23,12 @@
           0};
 }
 
-void RunUntilSignal(boost::asio::io_context& context) {
+template <class listener>
+int ListenAndRun(boost::asio::io_context& context, listener& service) {
+  // Before the port is announced, because whoever reads it may end the process.
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait(
       [&context](const boost::system::error_code&, int) { context.stop(); });
-  context.run();
-}
-
-template <class listener>
-int ListenAndRun(boost::asio::io_context& context, listener& service) {
   try {
     const std::uint16_t port = service.Listen();
     std::cout << "listening " << port << std::endl;
@@ -39,7 +36,7 @@
     std::cerr << "cannot listen: " << error.what() << "\n";
     return kExitFailure;
   }
-  RunUntilSignal(context);
+  context.run();
   return kExitSuccess;
 }
 
