Stand-in: a connection accepted just before the stop no longer spins

The acceptor was closed with an accept already completed; its handler accepted again on the closed acceptor, which fails at once, without end.

--- a/plantaintiller/standin/backend_service.cpp
+++ b/plantaintiller/standin/backend_service.cpp
@@ -34,7 +34,10 @@
 void backend_service::Accept() {
   acceptor_.async_accept(
       [this](const boost::system::error_code& error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
+        // A connection may have been accepted just before the acceptor was
+        // closed.
+        if (error == boost::asio::error::operation_aborted ||
+            !acceptor_.is_open()) {
           return;
         }
         if (!error) {
