Soak: end by a signal between two steps of the loop

Cause: test_terminated_soak_ends_its_instances failed once beside a build: the signal came while an instance was being started, so its process was not yet known to the clean-up. The handler now runs in the event loop, never within a start.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -389,6 +389,9 @@
             await asyncio.sleep(0.4)
 
     async def run(self, seconds):
+        # Called between two steps of the loop, never while a process is started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         await self.platform.start()
         await self.group.start()
         for proxy in self.proxies:
@@ -456,6 +459,8 @@
             world.group.servers[2].replication_paused = True
         try:
             asyncio.run(world.run(seconds))
+        except asyncio.CancelledError:
+            raise SystemExit(128 + signal.SIGTERM) from None
         finally:
             for each in world.instances:
                 each.stop()
