Keys of mistyped accounts are not passed on to peers

Cause: ReplaceKeys replaced keys only in a list of objects. A list that was written as an object, or a key in place of an account, was passed on in clear. Before: the new test finds a key in what is passed on (3 of 3 forms).

--- a/tests/platform/account_json_codec_test.cpp
+++ b/tests/platform/account_json_codec_test.cpp
@@ -122,6 +122,27 @@
   CHECK(received->left_out.empty());
 }
 
+// A list that was written as an object was passed on with its keys.
+TEST_CASE("account_json_codec: keys of mistyped accounts are not passed on") {
+  const directory_json_codec codec;
+  for (const char* const accounts :
+       {R"({"acme":{"name":"acme","api-keys":["k-1"]}})", R"(["k-1"])",
+        R"("k-1")"}) {
+    const std::string text =
+        R"({"version":7,"routes":[],"tenants":)" + std::string(accounts) + "}";
+    const auto table = codec.DecodeRoutes(text);
+    REQUIRE(table.has_value());
+    CHECK(table->left_out.size() == 1);
+    const std::string passed_on = codec.WithoutKeys(text);
+    CHECK(passed_on.find("k-") == std::string::npos);
+    CHECK(codec.WithoutKeys(passed_on) == passed_on);
+    const auto received = codec.DecodeRoutes(passed_on);
+    REQUIRE(received.has_value());
+    CHECK(received->requires_account == table->requires_account);
+    CHECK(LeftOut(*received) == LeftOut(*table));
+  }
+}
+
 TEST_CASE("account_json_codec: a configuration without keys is unchanged") {
   const std::string text = R"({ "version":7, "routes":[] })";
   CHECK(directory_json_codec().WithoutKeys(text) == text);
