--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -310,7 +310,7 @@
   host_.Callers().AppendReady(out, State(), std::nullopt);
   EndRequest();
   host_.Reply(out);
-  EndSessionElsewhere();
+  SendCallerElsewhere();
 }
 
 void session_engine::ReplyFailure(failure_code code, const std::string& text) {
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -235,7 +235,7 @@
   /// session is idle. This instance may be on the minority side of a partition;
   /// the caller returns through the load balancer, possibly to an instance that
   /// reaches the servers.
-  void EndSessionElsewhere();
+  void SendCallerElsewhere();
   void EndRequest();
   void ReleaseConnection(release_kind kind);
   session_state State() const;
@@ -277,7 +277,7 @@
   std::deque<reply_role> outstanding_;
   /// Whether a leadership check was requested for the current attempt.
   /// Whether the caller's connection is closed once the session is idle.
-  bool ends_when_idle_ = false;
+  bool sends_caller_elsewhere_ = false;
   bool check_requested_ = false;
   /// Its result; nothing while there is none.
   std::optional<replication::leadership_result> check_result_;
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -225,7 +225,7 @@
 std::string session_engine::WithRetryAfter(const char* reason) {
   const bool unproven =
       check_result_ == replication::leadership_result::kUnproven;
-  ends_when_idle_ |= unproven;
+  sends_caller_elsewhere_ |= unproven;
   admission::group_admission* control = Admission();
   const core::milliseconds pause =
       unproven || LeaderUnavailableTime() > core::duration(0)
@@ -255,7 +255,7 @@
   host_.Callers().AppendReady(out, state, std::nullopt);
   EndRequest();
   host_.Reply(out);
-  EndSessionElsewhere();
+  SendCallerElsewhere();
 }
 
 void session_engine::FinishSuccess(const server_reply& reply,
@@ -268,11 +268,11 @@
   host_.Callers().AppendReady(out, state, reply.position);
   EndRequest();
   host_.Reply(out);
-  EndSessionElsewhere();
+  SendCallerElsewhere();
 }
 
-void session_engine::EndSessionElsewhere() {
-  if (!ends_when_idle_ || State() != session_state::kIdle) {
+void session_engine::SendCallerElsewhere() {
+  if (!sends_caller_elsewhere_ || State() != session_state::kIdle) {
     return;
   }
   LogRequest("close", "leader_unproven");
