--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -371,7 +371,8 @@
         self.name, self.record, self.promote_s = name, record, promote_s
         self.servers, self.max_connections, self.work_s = [], 16, 0.003
         self.term, self.highest_token = 1, 0
-        self.tokens = []
+        # Whether a promotion with a lower token than one seen is refused.
+        self.fencing = True
         # Acknowledged to a client: query id -> time.
         self.acknowledged = {}
         self.on_read = lambda server, query_id: None
@@ -427,13 +428,13 @@
         """Accepts or refuses a promotion; returns the HTTP status."""
         server = next((s for s in self.servers if s.name == name), None)
         status = 200
-        if token < self.highest_token or server is None or not server.alive:
+        outdated = self.fencing and token < self.highest_token
+        if outdated or server is None or not server.alive:
             status = 409
         self.record.write(
             f"platform promote {name} holder {holder} token {token}: {status}")
-        self.tokens.append((self.record.now(), holder, token, name))
         if status == 200:
-            self.highest_token = token
+            self.highest_token = max(self.highest_token, token)
             if not server.is_leader:
                 asyncio.get_running_loop().call_later(
                     self.promote_s, self.take_lead, server)
@@ -717,6 +718,7 @@
         base = 12000 + os.getpid() % 1200 * 16
         zones = ["perth-north", "perth-south", "bunbury-a"]
         self.group = Group("tenancy-1", self.record, promote_s)
+        self.group.fencing = fencing
         names = ["i-aaaa1111", "i-bbbb2222", "i-cccc3333"]
         for n in range(3):
             self.group.add(names[n], f"{network}.2.{n + 1}", base, zones[n],
