--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -144,6 +144,10 @@
         self.sequence = 0
         self.writers, self.listener = set(), None
         self.last_report = None
+        # Nothing reaches it and nothing leaves it while this is not set.
+        self.light = asyncio.Event()
+        self.light.set()
+        self.free_slots = None
 
     def position(self):
         last = self.log[-1] if self.log else None
@@ -168,6 +172,25 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def work(self):
+        """Occupies one of the slots, if their number is limited."""
+        if self.group.slots is None:
+            await asyncio.sleep(self.group.work_s)
+            return
+        if self.free_slots is None:
+            self.free_slots = asyncio.Semaphore(self.group.slots)
+        async with self.free_slots:
+            await asyncio.sleep(self.group.work_s)
+
+    def go_dark(self):
+        """Its machine is unreachable; its process and its connections go on."""
+        self.group.record.write(f"server {self.name} goes dark at {self.position()}")
+        self.light.clear()
+
+    def end_dark(self):
+        self.group.record.write(f"server {self.name} is reachable again")
+        self.light.set()
+
     async def restart(self):
         """Comes back with its log, as a replica if another one was promoted."""
         leader = self.group.leader()
@@ -199,6 +222,8 @@
         self.server, self.reader, self.writer = server, reader, writer
         self.values, self.prepared = {}, {}
         self.transaction, self.read_only, self.writes = False, False, []
+        # Whether the open transaction has failed.
+        self.failed = False
 
     def send(self, *lines):
         self.writer.write("".join(line + "\r\n" for line in lines).encode())
@@ -206,6 +231,7 @@
     async def run(self):
         server = self.server
         words = (await self.reader.readline()).decode().split()
+        await server.light.wait()
         if words[:1] != ["START"] or len(words) < 3:
             return
         if words[1] != server.group.name or (
@@ -219,14 +245,18 @@
             return
         self.send(f"READY I {server.position()}")
         while line := (await self.reader.readline()).decode().rstrip("\r\n"):
+            await server.light.wait()
             verb, _, rest = line.partition(" ")
             if verb != "QUERY":
                 return
             query_id, _, text = rest.partition(" ")
             answer = await self.execute(query_id, text)
+            await server.light.wait()
             if not server.alive:
                 return
-            state = "T" if self.transaction else "I"
+            if self.transaction and answer[-1].startswith("ERROR READONLY"):
+                self.failed = True
+            state = "I" if not self.transaction else "E" if self.failed else "T"
             self.send(*answer, f"READY {state} {server.position()}")
             await self.writer.drain()
 
@@ -240,6 +270,13 @@
         handler = getattr(self, "on_" + verb.lower(), None)
         if handler is None:
             return ["ERROR MALFORMED unknown"]
+        if verb not in ("COMMIT", "ROLLBACK") and self.transaction:
+            if self.failed:
+                return ["ERROR MALFORMED the transaction failed"]
+            if self.lost_lead():
+                # The answer to any statement of such a transaction.
+                return self.read_only_refusal()
+        self.server.group.on_statement(self, query_id)
         return await handler(query_id, rest)
 
     async def on_set(self, _id, rest):
@@ -263,6 +300,7 @@
         if rest != "READ" and not self.server.is_leader:
             return self.read_only_refusal()
         self.transaction, self.read_only, self.writes = True, rest == "READ", []
+        self.failed = False
         return ["COMPLETE -"]
 
     async def on_rollback(self, _id, _rest):
@@ -279,7 +317,7 @@
         server = self.server
         if self.lost_lead():
             return self.read_only_refusal()
-        await asyncio.sleep(server.group.work_s)
+        await server.work()
         server.group.record.write(
             f"server {server.name} runs {query_id} READ {rest} at {server.position()}")
         server.group.on_read(server, query_id)
@@ -291,7 +329,7 @@
         server = self.server
         if not server.is_leader:
             return self.read_only_refusal()
-        await asyncio.sleep(server.group.work_s)
+        await server.work()
         if not server.is_leader:
             return self.read_only_refusal()
         item, _, data = rest.partition(" ")
@@ -370,12 +408,15 @@
     def __init__(self, name, record, promote_s):
         self.name, self.record, self.promote_s = name, record, promote_s
         self.servers, self.max_connections, self.work_s = [], 16, 0.003
+        # Statements that one database runs at a time; without a limit if nothing.
+        self.slots = None
         self.term, self.highest_token = 1, 0
         # Whether a promotion with a lower token than one seen is refused.
         self.fencing = True
         # Acknowledged to a client: query id -> time.
         self.acknowledged = {}
         self.on_read = lambda server, query_id: None
+        self.on_statement = lambda session, query_id: None
 
     def add(self, name, host, port, zone, delay_s):
         server = Server(self, name, host, port, zone, delay_s)
@@ -395,7 +436,8 @@
         """Repeats for one replica what it has missed, for instance while held."""
         while True:
             leader = self.leader()
-            if leader is not None and leader is not server and server.alive:
+            if (leader is not None and leader is not server and server.alive
+                    and leader.light.is_set()):
                 if server.key() != leader.key():
                     self.send_log(leader, server)
             await asyncio.sleep(0.05)
@@ -406,7 +448,8 @@
             server.delay_s, self.receive_log, server, leader.term, list(leader.log))
 
     def receive_log(self, server, term, log):
-        receives = (server.alive and not server.deaf and not server.held_term
+        receives = (server.alive and server.light.is_set()
+                    and not server.deaf and not server.held_term
                     and not server.is_leader and term == self.term)
         if not receives:
             return
@@ -429,7 +472,8 @@
         server = next((s for s in self.servers if s.name == name), None)
         status = 200
         outdated = self.fencing and token < self.highest_token
-        if outdated or server is None or not server.alive:
+        unreachable = server is None or not server.alive or not server.light.is_set()
+        if outdated or unreachable:
             status = 409
         self.record.write(
             f"platform promote {name} holder {holder} token {token}: {status}")
@@ -469,9 +513,14 @@
         self.rows, self.changes, self.version = {}, [], 0
         self.changed = asyncio.Event()
         self.down = False
+        # Address at which an instance calls the store -> addresses that it is
+        # given for the databases, those of its own links.
+        self.views = {}
 
     async def start(self):
         await asyncio.start_server(self.serve, self.host, self.port)
+        for host in self.views:
+            await asyncio.start_server(self.serve, host, self.port)
         await asyncio.start_server(self.serve, self.host, self.port + 1)
 
     def put(self, table, part, key, value):
@@ -492,7 +541,8 @@
     async def report(self, server):
         """A database's reports; its entry goes after three intervals of silence."""
         while True:
-            if server.alive and not server.cut_from_store and not self.down:
+            if (server.alive and server.light.is_set()
+                    and not server.cut_from_store and not self.down):
                 server.sequence += 1
                 if ("servers", "", server.name) not in self.rows:
                     self.record.write(f"store lists {server.name}")
@@ -547,6 +597,9 @@
             status, answer = 503, {}
         else:
             status, answer = await self.answer(words[1], body, headers)
+            view = self.views.get(writer.get_extra_info("sockname")[0])
+            if view is not None and "rows" in answer:
+                answer["rows"] = [seen_by(row, view) for row in answer["rows"]]
         text = json.dumps(answer).encode()
         writer.write(f"HTTP/1.1 {status} X\r\nStore-Era: 0\r\n"
                      f"Content-Type: application/json\r\n"
@@ -603,6 +656,15 @@
         return 200, self.envelope([])
 
 
+def seen_by(row, view):
+    """The row of a database with the address of an instance's own link to it."""
+    if row["table"] != "servers" or "value" not in row:
+        return row
+    entry = json.loads(base64.b64decode(row["value"]))
+    entry["address"] = view.get(entry["address"], entry["address"])
+    return dict(row, value=base64.b64encode(json.dumps(entry).encode()).decode())
+
+
 class Instance:
     """One entry instance, a process of the project."""
 
@@ -633,6 +695,10 @@
         self.process.kill()
         self.process.wait()
 
+    def terminate(self):
+        self.record.write(f"instance {self.name} gets SIGTERM")
+        self.process.terminate()
+
     def end(self):
         if self.process and self.process.poll() is None:
             self.process.kill()
@@ -659,6 +725,43 @@
         return False
 
 
+class Link:
+    """The way of one instance to one database; while cut, nothing gets through."""
+
+    def __init__(self, host, server):
+        self.host, self.server, self.cut = host, server, False
+
+    async def start(self):
+        await asyncio.start_server(self.accept, self.host, self.server.port)
+
+    async def accept(self, reader, writer):
+        try:
+            if self.cut:
+                await self.wait_until_open()
+            up_reader, up_writer = await asyncio.open_connection(
+                self.server.host, self.server.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(self.forward(reader, up_writer),
+                             self.forward(up_reader, writer))
+
+    async def wait_until_open(self):
+        while self.cut:
+            await asyncio.sleep(0.01)
+
+    async def forward(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.wait_until_open()
+                writer.write(data)
+                await writer.drain()
+            await self.wait_until_open()
+        except (ConnectionError, OSError):
+            pass
+        writer.transport.abort()
+
+
 class Client:
     """A session that sends one request at a time and reads its answer."""
 
@@ -710,7 +813,7 @@
     """A small deployment: one group of three databases and three instances."""
 
     def __init__(self, record_path, routes, fencing=True, promote_s=0.6,
-                 delays=(0.0, 0.001, 0.008), instances=3):
+                 delays=(0.0, 0.001, 0.008), instances=3, links=False):
         self.record = Record(record_path)
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         folder = pathlib.Path(self.folder.name)
@@ -734,6 +837,20 @@
                      zones[n % 3], ports, seeds, folder, platform_host, fencing)
             for n in range(instances)]
         self.routes, self.version, self.tasks = routes, 0, []
+        # links[n][k]: the way of instance n to database k; empty unless wanted.
+        self.links = []
+        if links:
+            for n, instance in enumerate(self.instances):
+                host = f"{network}.5.{n + 2}"
+                instance.settings.write_text(instance.settings.read_text().replace(
+                    f'address = "{platform_host}:{base + 1}"',
+                    f'address = "{host}:{base + 1}"'))
+                self.links.append([
+                    Link(f"{network}.6.{10 * n + k + 1}", server)
+                    for k, server in enumerate(self.group.servers)])
+                self.platform.views[host] = {
+                    f"{link.server.host}:{link.server.port}":
+                    f"{link.host}:{link.server.port}" for link in self.links[-1]}
 
     def publish(self):
         self.version += 3
@@ -741,7 +858,7 @@
             "version": self.version,
             "routes": [dict(each, name="r-" + each["host"], service=self.group.name)
                        for each in self.routes],
-            "services": [{"name": self.group.name, "max-conns": 16,
+            "services": [{"name": self.group.name, "max-conns": self.group.max_connections,
                           "sync-replicas": 1}],
             "limits": {"tx-idle-ms": 3000}}))
 
@@ -753,6 +870,9 @@
     async def start(self):
         await self.platform.start()
         await self.group.start()
+        for links in self.links:
+            for link in links:
+                await link.start()
         self.publish()
         for server in self.group.servers:
             self.spawn(self.group.replicate(server))
