--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Restart of all instances while one replica is not listed, then a planned release."""
+"""Restart of all instances while one replica is not listed, then a crash of the primary."""
 
 import asyncio
 import pathlib
@@ -12,38 +12,48 @@
 
 
 async def play(world, trouble):
-    primary, near, _ = world.group.servers
+    primary, near, far = world.group.servers
     await world.start()
-    for number in range(8):
-        world.spawn(write_forever(world, number, "alloc1", 0.02))
+    for number in range(6):
+        world.spawn(write_forever(world, number, "alloc1", 0.03))
     await asyncio.sleep(3)
-    if trouble:
-        # Right after a report, the near replica is partitioned from the store.
-        reported = near.last_report
-        while near.last_report == reported:
-            await asyncio.sleep(0.005)
-        world.record.write(
-            f"disruption: {near.name} is cut off from the store for 5 s")
-        near.cut_from_store = True
-        asyncio.get_running_loop().call_later(
-            5, lambda: setattr(near, "cut_from_store", False))
-        while ("servers", "", near.name) in world.platform.rows:
-            await asyncio.sleep(0.005)
-        world.record.write("disruption: all instances are killed at the same moment")
-        for each in world.instances:
-            each.kill()
-        await asyncio.sleep(0.1)
-        for each in world.instances:
-            each.start()
-    else:
-        await asyncio.sleep(4)
-    world.record.write(f"planned: {primary.name} reports that it is draining")
-    primary.draining = True
-    await asyncio.sleep(7)
-    # Its drain time has passed, it exits.
+    if not trouble:
+        await asyncio.sleep(14)
+        return
+    # Right after a report, the near replica is partitioned from the store for 5 s.
+    reported = near.last_report
+    while near.last_report == reported:
+        await asyncio.sleep(0.005)
+    world.record.write(f"disruption: {near.name} is cut off from the store for 5 s")
+    near.cut_from_store = True
+    asyncio.get_running_loop().call_later(
+        5, lambda: setattr(near, "cut_from_store", False))
+    await asyncio.sleep(1)
+    world.record.write(f"disruption: {far.name} receives nothing for 6.5 s")
+    far.deaf = True
+    asyncio.get_running_loop().call_later(
+        6.5, lambda: setattr(far, "deaf", False))
+    while ("servers", "", near.name) in world.platform.rows:
+        await asyncio.sleep(0.005)
+    world.record.write("disruption: all instances are killed at the same moment")
+    for each in world.instances:
+        each.kill()
+    await asyncio.sleep(0.1)
+    for each in world.instances:
+        each.start()
+    # The primary crashes soon after writes are acknowledged again.
+    served = len(world.group.acknowledged)
+    while len(world.group.acknowledged) == served:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.25)
+    world.record.write(f"disruption: {primary.name} crashes for 7 s")
     primary.crash()
+    await asyncio.sleep(7)
+    await primary.restart()
     await asyncio.sleep(3)
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(lambda record: World(record, ROUTES), play))
+    # As on wirnik-diag: no fencing, 300 ms a promote.
+    sys.exit(run_case(
+        lambda record: World(record, ROUTES, fencing=False, promote_s=0.3), play))
--- a/review/4/case.py
+++ b/review/2/variants/no-restart/case.py
@@ -4,7 +4,7 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[3] / "lib"))
 from world import World, run_case, write_forever  # noqa: E402
 
 ROUTES = [{"host": "alloc1", "route-type": "primary", "timeout-ms": 800,
