--- a/plantaintiller/gateway/gateway.h
+++ b/plantaintiller/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "plantaintiller/gateway/directory_codec.h"
 #include "plantaintiller/gateway/gateway_settings.h"
 #include "plantaintiller/sessions/codec.h"
+#include "plantaintiller/store/promotion_service.h"
 #include "plantaintiller/store/row_store.h"
 
 namespace boost::asio {
--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -202,6 +202,7 @@
 
   // leader_controller_listener
   void OnLeaderChange(const std::string& group) override;
+  void OnPromotionCall(store::promotion_status status) override;
   std::size_t LiveInstances() const override {
     return exchange_.LivePeers() + 1;
   }
--- a/plantaintiller/gateway/gateway_peers.cpp
+++ b/plantaintiller/gateway/gateway_peers.cpp
@@ -119,6 +119,11 @@
                   change_source::kPeer);
 }
 
+void gateway::implementation::OnPromotionCall(store::promotion_status status) {
+  metrics_.Count(std::string("promotions_") +
+                 store::PromotionStatusName(status));
+}
+
 void gateway::implementation::OnLeaderChange(const std::string& group) {
   AnnounceLeader(group, change_source::kOwn);
 }
--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -128,10 +128,7 @@
   void Promote(const std::string& group,
                const std::string& server,
                std::uint64_t token,
-               std::function<void(store::promotion_status)> done) override {
-    dependencies_.promotions.Promote(group, server, change_settings_.holder,
-                                     token, std::move(done));
-  }
+               std::function<void(store::promotion_status)> done) override;
   void SetTimer(const std::string& group, core::milliseconds pause) override;
   std::uint64_t DrawNonce() override {
     // The nonce is stored as a JSON number, which is exact only up to 2^53.
@@ -364,6 +361,29 @@
       });
 }
 
+void leader_controller::implementation::Promote(
+    const std::string& group,
+    const std::string& server,
+    std::uint64_t token,
+    std::function<void(store::promotion_status)> done) {
+  const core::time_point ordered = core::clock::now();
+  dependencies_.promotions.Promote(
+      {group, server, change_settings_.holder, token},
+      [self = shared_from_this(), group, server, token, ordered,
+       done = std::move(done)](store::promotion_result result) {
+        const auto took = core::ToMilliseconds(core::clock::now() - ordered);
+        log_line(self->dependencies_.log, "groups", "promotion")
+            .With("group", group)
+            .With("server", server)
+            .With("token", static_cast<std::int64_t>(token))
+            .With("result", store::PromotionStatusName(result.status))
+            .With("queued_ms", result.queued.count())
+            .With("took_ms", took.count());
+        self->listener_.OnPromotionCall(result.status);
+        done(result.status);
+      });
+}
+
 void leader_controller::implementation::SetTimer(const std::string& group,
                                                  core::milliseconds pause) {
   monitored_group* each = Find(group);
--- a/plantaintiller/gateway/leader_controller.h
+++ b/plantaintiller/gateway/leader_controller.h
@@ -13,6 +13,7 @@
 #include "plantaintiller/replication/leader_monitor.h"
 #include "plantaintiller/replication/primary_change.h"
 #include "plantaintiller/sessions/codec.h"
+#include "plantaintiller/store/promotion_service.h"
 #include "plantaintiller/store/row_store.h"
 
 namespace plantaintiller::gateway {
@@ -32,6 +33,8 @@
   virtual ~leader_controller_listener() = default;
   /// Called when a change of a group's leader was started, claimed or ended.
   virtual void OnLeaderChange(const std::string& group) = 0;
+  /// Called when a call to promote a server has ended.
+  virtual void OnPromotionCall(store::promotion_status status) = 0;
   /// Number of live instances, with this one.
   virtual std::size_t LiveInstances() const = 0;
 };
--- a/plantaintiller/gateway/statement_metrics.h
+++ b/plantaintiller/gateway/statement_metrics.h
@@ -18,8 +18,8 @@
                 bool at_leader,
                 core::duration took,
                 const char* failure);
-  /// Increments a counter. @param name a string of static storage.
-  void Count(const char* name) { counters_[name] += 1; }
+  /// Increments a counter. @param name without the common prefix and suffix.
+  void Count(const std::string& name) { counters_[name] += 1; }
   /// Sets a gauge. @param name a string of static storage.
   void Set(const char* name, std::uint64_t value) { gauges_[name] = value; }
   /// @return all metrics in the Prometheus text format.
--- a/plantaintiller/http/client.cpp
+++ b/plantaintiller/http/client.cpp
@@ -30,7 +30,7 @@
         timeout_(timeout) {}
 
   void Send(const request& http_request, exchange_callback done) {
-    queue_.push_back({http_request, std::move(done)});
+    queue_.push_back({http_request, std::move(done), core::clock::now(), {}});
     if (!busy_) {
       StartNext();
     }
@@ -40,6 +40,8 @@
   struct exchange {
     request http_request;
     exchange_callback done;
+    core::time_point queued_at;
+    std::optional<core::time_point> written_at;
   };
 
   void StartNext() {
@@ -81,6 +83,7 @@
     request_.body() = http_request.body;
     request_.prepare_payload();
     stream_->expires_after(timeout_);
+    queue_.front().written_at = core::clock::now();
     beast::http::async_write(
         *stream_, request_,
         [self = shared_from_this()](beast::error_code error, std::size_t) {
@@ -128,6 +131,8 @@
     }
     exchange_status each_status = status;
     for (exchange& each : ended) {
+      answer.queued = core::ToMilliseconds(
+          each.written_at.value_or(core::clock::now()) - each.queued_at);
       each.done(each_status, std::move(answer));
       answer = {};
       each_status = exchange_status::kNotSent;
--- a/plantaintiller/http/client.h
+++ b/plantaintiller/http/client.h
@@ -20,7 +20,8 @@
   kNoAnswer,
 };
 
-/// Called when an exchange has ended. @param answer valid only on kAnswered.
+/// Called when an exchange has ended. @param answer valid only on kAnswered,
+/// but for `queued`.
 using exchange_callback = std::function<void(exchange_status, response answer)>;
 
 /// HTTP/1.1 client for one server. Uses one connection and runs one exchange at
--- a/plantaintiller/http/message.h
+++ b/plantaintiller/http/message.h
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "plantaintiller/core/time.h"
+
 namespace plantaintiller::http {
 
 /// A request, as passed to a handler.
@@ -28,6 +30,9 @@
   bool close = false;
   /// Header fields that a client received; servers leave it empty.
   std::vector<std::pair<std::string, std::string>> headers = {};
+  /// Set by clients: time from the call until the request was written, or until
+  /// the end of the exchange if it was not.
+  core::milliseconds queued{0};
 
   /// @param name in any case. @return the value of a received header field;
   /// empty if it is missing.
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -12,6 +12,7 @@
 #include "plantaintiller/core/time.h"
 #include "plantaintiller/replication/group_state.h"
 #include "plantaintiller/sessions/codec.h"
+#include "plantaintiller/store/promotion_service.h"
 #include "plantaintiller/store/row_store.h"
 
 namespace plantaintiller::replication {
@@ -294,7 +295,12 @@
   void ReleaseHolds();
   /// Records in the store that no promotion is outstanding.
   void SettleClaim();
-  void Abandon(const char* reason);
+  void Abandon(const std::string& reason);
+  /// @return holder, token and age of a claim for the log.
+  std::string DescribeClaim(const group_claim& claim,
+                            core::milliseconds store_now) const;
+  /// Records when this instance first saw the row's version.
+  void OnClaimSeen(store::row_version version);
   /// Restarts from the query of the servers, or ends the change if its
   /// preparation has taken too long.
   void RetryOrAbandon(const char* reason);
@@ -323,6 +329,12 @@
   std::uint64_t nonce_ = 0;
   /// The claim as written by this instance.
   group_claim claim_;
+  /// Version of the claim that was read last, and when this instance first saw
+  /// it.
+  store::row_version seen_version_ = 0;
+  core::time_point seen_at_;
+  /// The claim that the present one replaced, for the log.
+  std::string replaced_claim_;
   /// Newest era of the store that this change has seen; nothing before the
   /// first read.
   std::optional<std::uint64_t> era_;
--- a/plantaintiller/replication/primary_claim.cpp
+++ b/plantaintiller/replication/primary_claim.cpp
@@ -38,6 +38,25 @@
   });
 }
 
+void primary_change::OnClaimSeen(store::row_version version) {
+  if (version != seen_version_) {
+    seen_version_ = version;
+    seen_at_ = host_.Now();
+  }
+}
+
+std::string primary_change::DescribeClaim(const group_claim& claim,
+                                          core::milliseconds store_now) const {
+  if (claim.version == 0) {
+    return "no claim";
+  }
+  const core::milliseconds seen = core::ToMilliseconds(host_.Now() - seen_at_);
+  return claim.holder + " token " + std::to_string(claim.token) +
+         (claim.settled ? " settled" : "") + " age_ms " +
+         std::to_string((store_now - claim.claimed_at).count()) + " seen_ms " +
+         std::to_string(seen.count());
+}
+
 void primary_change::OnClaim(std::optional<group_claim> claim,
                              core::milliseconds store_now,
                              const read_time& read) {
@@ -46,6 +65,7 @@
     return;
   }
   OnEraSeen(claim->era);
+  OnClaimSeen(claim->version);
   if (claim->nonce == nonce_ && nonce_ != 0) {
     // An earlier write of this instance was done although its answer was lost.
     token_ = claim->token;
@@ -65,9 +85,10 @@
       !claim->settled && store_now >= claim->claimed_at &&
       store_now - claim->claimed_at < settings_.claim_validity;
   if (claimed_by_other) {
-    Abandon("claimed_by_another");
+    Abandon("claimed_by_another " + DescribeClaim(*claim, store_now));
     return;
   }
+  replaced_claim_ = DescribeClaim(*claim, store_now);
   if (claim->settled && claim->token > token_) {
     // Its holder has had a promotion accepted under a higher token.
     outstanding_.clear();
@@ -127,8 +148,9 @@
     }
     token_ = claim.token;
     claim_ = claim;
-    host_.LogChange(group_.Name(), "claimed",
-                    "token " + std::to_string(token_));
+    host_.LogChange(
+        group_.Name(), "claimed",
+        "token " + std::to_string(token_) + " after " + replaced_claim_);
     QueryServers(step::kQuerying);
     host_.OnChangeClaimed(group_.Name());
     return;
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -311,7 +311,7 @@
                    [](store::call_status, store::row_version) {});
 }
 
-void primary_change::Abandon(const char* reason) {
+void primary_change::Abandon(const std::string& reason) {
   host_.LogChange(group_.Name(), "change_end", reason);
   Finish("");
 }
--- a/plantaintiller/store/row_store.h
+++ b/plantaintiller/store/row_store.h
@@ -85,36 +85,4 @@
   virtual void Commit(const row_transaction& change, rows_callback done) = 0;
 };
 
-/// Result of a call to promote a server.
-enum class promotion_status : std::uint8_t {
-  /// Accepted; the server becomes the leader shortly.
-  kAccepted,
-  /// A higher token was used for this group, or the server is not running.
-  kSuperseded,
-  /// Nothing was done.
-  kRefused,
-  /// No answer: the promotion may still be carried out later.
-  kUnknown,
-};
-
-/// Longest wait for the answer to a promotion: several round trips between
-/// regions. A call without an answer may still be carried out later, so the
-/// wait is short and a call with a higher token then fences it off.
-inline constexpr core::milliseconds kPromotionTimeout{300};
-
-/// The platform's service that makes a server the leader of its group.
-class promotion_service {
- public:
-  virtual ~promotion_service() = default;
-  /// Promotes a server to leader of its group.
-  /// @param holder name of this instance.
-  /// @param token fencing token, increased with each holder.
-  /// @param done receives the result.
-  virtual void Promote(const std::string& group,
-                       const std::string& server,
-                       const std::string& holder,
-                       std::uint64_t token,
-                       std::function<void(promotion_status)> done) = 0;
-};
-
 }  // namespace plantaintiller::store
