Test that fails: a held-up promotion arrives after that of the next holder

Three real instances and a platform that does not check tokens. The way of two instances to the promotion service is cut after they have claimed, the third one takes over, then the cut ends. The log shows the order written at once (queued_ms=0), given up after 300 ms, and the claim taken over at an age of 2,512 ms by the store's clock: of the hypotheses, the first.

The soak learns cuts between instances and platform and a platform without fencing. A proxy drops held bytes when their sender resets the connection and delivers them after an orderly close, as a network does.

--- a/tests/soak/database_group.py
+++ b/tests/soak/database_group.py
@@ -291,6 +291,8 @@
         ]
         self.servers[0].is_leader = True
         self.highest_token = 0
+        # Whether promotions with outdated tokens are refused.
+        self.fencing = True
         # Account of the connection on which each query was last received.
         self.accounts = {}
         # Injected defect: reads are answered even if the log lacks their position.
@@ -336,9 +338,13 @@
         candidate = next(
             (server for server in self.servers if server.name == name), None
         )
-        if token < self.highest_token or candidate is None or not candidate.alive:
+        if token < self.highest_token and not self.fencing:
+            self.checker.report_violation(
+                f"promotion of {name} with token {token} after {self.highest_token}")
+        fenced = self.fencing and token < self.highest_token
+        if fenced or candidate is None or not candidate.alive:
             return 409
-        self.highest_token = token
+        self.highest_token = max(token, self.highest_token)
         if not candidate.is_leader:
             asyncio.get_running_loop().call_later(
                 self.promotion_time, self.complete_promotion, candidate
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -57,7 +57,9 @@
                 await asyncio.sleep(self.proxy.delay)
                 while self.silent or direction in self.proxy.blocked_directions:
                     await asyncio.sleep(0.05)
-                    if writer.is_closing():
+                    # Held bytes are lost if their sender resets the connection;
+                    # after an orderly close they still arrive.
+                    if writer.is_closing() or reader.exception() is not None:
                         return
                 writer.write(data)
                 await writer.drain()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -55,6 +55,7 @@
 [bounds]
 grace-s = 4
 drain-ms = 7000
+require-fencing = {fencing}
 [platform]
 address = "{platform}:{store}"
 [cloud]
@@ -67,16 +68,25 @@
 
     # Contracts of the deployment, for all instances of a run.
     contracts = []
+    # Whether the platform refuses promotions with outdated tokens.
+    fencing = True
 
     def __init__(self, number, ports, folder, forward_sessions):
         self.host = f"{ports['network']}.3.{number}"
         self.ports = ports
+        platform = f"{ports['network']}.6.{number}"
+        # The way of this instance to the platform: its store and its promotions.
+        self.store_proxy, self.promotion_proxy = (
+            Proxy(platform, ports[name], ports["platform"], ports[name])
+            for name in ("store", "cloud"))
         self.name = f"entry-{number}"
         self.path = folder / f"{self.name}.toml"
         self.log = open(folder / f"{self.name}.log", "ab")
         self.path.write_text(
             SETTINGS.format(name=self.name, host=self.host,
-                            contracts=json.dumps(self.contracts), **ports)
+                            contracts=json.dumps(self.contracts),
+                            fencing=json.dumps(self.fencing),
+                            **{**ports, "platform": platform})
         )
         self.process = None
         # One other live instance makes the deployment large: sessions are forwarded.
@@ -278,6 +288,7 @@
             "g1", [f"{network}.2.{n}" for n in (1, 2, 3)], base,
             self.checker, self.random,
         )
+        self.group.fencing = Instance.fencing
         self.proxies = []
         for number, server in enumerate(self.group.servers, 1):
             proxy = Proxy(f"{network}.4.{number}", base, server.host, server.port)
@@ -297,6 +308,10 @@
         self.version = 0
         self.faults = []
 
+    def platform_proxies(self):
+        return [proxy for each in self.instances
+                for proxy in (each.store_proxy, each.promotion_proxy)]
+
     def choose_entry_address(self):
         each = self.random.choice(self.instances)
         return each.host, each.ports["front"]
@@ -334,7 +349,7 @@
             "kill", "pause", "term", "herd", "reset", "silence", "delay",
             "one_way", "leader_crash", "drain", "deaf", "lost_answers",
             "store_busy", "store_silent", "store_lost", "store_restored",
-            "configuration",
+            "configuration", "promotions_cut", "platform_cut",
         ])
         if kind == "kill":
             instance.send_signal(signal.SIGKILL)
@@ -370,6 +385,15 @@
         elif kind == "lost_answers":
             server.answer_loss_probability = 0.05
             undo = lambda: setattr(server, "answer_loss_probability", 0.0)
+        elif kind in ("promotions_cut", "platform_cut"):
+            # Long enough for another instance to take over a claim.
+            cut = [instance.promotion_proxy]
+            if kind == "platform_cut":
+                cut.append(instance.store_proxy)
+            for each in cut:
+                each.blocked_directions.update(("up", "down"))
+            undo = lambda: [each.blocked_directions.clear() for each in cut]
+            duration += 3
         elif kind == "store_restored":
             if platform.copies:
                 platform.restore_older_copy()
@@ -400,7 +424,7 @@
             signal.SIGTERM, asyncio.current_task().cancel)
         await self.platform.start()
         await self.group.start()
-        for proxy in self.proxies:
+        for proxy in self.proxies + self.platform_proxies():
             await proxy.start()
         self.publish()
         tasks = [asyncio.create_task(each) for each in (
@@ -503,8 +527,13 @@
         "--contracts", nargs="*", default=[],
         help="contracts in the settings, for instance pressure",
     )
+    parser.add_argument(
+        "--unfenced", action="store_true",
+        help="the platform carries out promotions with outdated tokens",
+    )
     arguments = parser.parse_args()
     Instance.contracts = arguments.contracts
+    Instance.fencing = not arguments.unfenced
     signal.signal(signal.SIGTERM, end_by_signal)
     first, count = (int(each) for each in arguments.seeds.split(":"))
     failed = [
