An order to promote does not outlive its claim

Cause: the age of the claim was checked when the order was given. After that the order waited in the queue of the process's one connection to the platform, for that connection, and on its way, and nobody looked again. A call that timed out was given up by an orderly close, after which the kernel still delivers its bytes when the link is back.

The queue was found by reading.

Fix: an order carries the time for which it is valid. The client does not write it later, resets the connection when it gives up, so that the kernel drops what is on its way, and lets the kernel do so when the process is paused (TCP_USER_TIMEOUT). Each order has a connection of its own, so that none waits behind another group's and none goes into a connection that fell silent.

What it can't prevent: an order that the platform has received and carries out late.

--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -128,6 +128,7 @@
   void Promote(const std::string& group,
                const std::string& server,
                std::uint64_t token,
+               core::milliseconds valid_for,
                std::function<void(store::promotion_status)> done) override;
   void SetTimer(const std::string& group, core::milliseconds pause) override;
   std::uint64_t DrawNonce() override {
@@ -365,10 +366,11 @@
     const std::string& group,
     const std::string& server,
     std::uint64_t token,
+    core::milliseconds valid_for,
     std::function<void(store::promotion_status)> done) {
   const core::time_point ordered = core::clock::now();
   dependencies_.promotions.Promote(
-      {group, server, change_settings_.holder, token},
+      {group, server, change_settings_.holder, token, valid_for},
       [self = shared_from_this(), group, server, token, ordered,
        done = std::move(done)](store::promotion_result result) {
         const auto took = core::ToMilliseconds(core::clock::now() - ordered);
--- a/plantaintiller/http/client.cpp
+++ b/plantaintiller/http/client.cpp
@@ -1,7 +1,10 @@
 #include "plantaintiller/http/client.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -15,6 +18,10 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
+/// Time in milliseconds after which the kernel ends a connection whose data is
+/// not acknowledged, also while the process is paused.
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 }  // namespace
 
 class client::implementation
@@ -30,7 +37,11 @@
         timeout_(timeout) {}
 
   void Send(const request& http_request, exchange_callback done) {
-    queue_.push_back({http_request, std::move(done), core::clock::now(), {}});
+    queue_.push_back({http_request,
+                      std::move(done),
+                      core::clock::now(),
+                      core::SuspendedTime(),
+                      {}});
     if (!busy_) {
       StartNext();
     }
@@ -41,6 +52,8 @@
     request http_request;
     exchange_callback done;
     core::time_point queued_at;
+    /// How long the machine had been suspended by then.
+    core::duration suspended;
     std::optional<core::time_point> written_at;
   };
 
@@ -55,7 +68,7 @@
       return;
     }
     stream_.emplace(context_);
-    stream_->expires_after(timeout_);
+    stream_->expires_after(std::min(timeout_, TimeLeft()));
     const tcp::endpoint endpoint(asio::ip::make_address(host_), port_);
     stream_->async_connect(
         endpoint, [self = shared_from_this()](beast::error_code error) {
@@ -69,7 +82,33 @@
         });
   }
 
+  /// @return the time in which the first request must reach the server.
+  core::milliseconds TimeLeft() const {
+    const exchange& first = queue_.front();
+    if (!first.http_request.valid_for.has_value()) {
+      return core::milliseconds::max();
+    }
+    return *first.http_request.valid_for -
+           core::ToMilliseconds(core::clock::now() - first.queued_at +
+                                core::SuspendedTime() - first.suspended);
+  }
+
+  void SetDeliveryLimit(core::milliseconds left) {
+    beast::error_code ignored;
+    stream_->socket().set_option(tcp::socket::linger(true, 0), ignored);
+    stream_->socket().set_option(user_timeout(static_cast<int>(left.count())),
+                                 ignored);
+  }
+
   void Write() {
+    const core::milliseconds left = TimeLeft();
+    if (left <= core::milliseconds(0)) {
+      asio::post(context_, [self = shared_from_this()] { self->Expire(); });
+      return;
+    }
+    if (left != core::milliseconds::max()) {
+      SetDeliveryLimit(left);
+    }
     const request& http_request = queue_.front().http_request;
     request_ = {};
     request_.version(11);
@@ -82,7 +121,7 @@
     }
     request_.body() = http_request.body;
     request_.prepare_payload();
-    stream_->expires_after(timeout_);
+    stream_->expires_after(std::min(timeout_, left));
     queue_.front().written_at = core::clock::now();
     beast::http::async_write(
         *stream_, request_,
@@ -116,6 +155,16 @@
         });
   }
 
+  /// Ends the first exchange without sending it.
+  void Expire() {
+    exchange ended = std::move(queue_.front());
+    queue_.pop_front();
+    response answer;
+    answer.queued = core::ToMilliseconds(core::clock::now() - ended.queued_at);
+    ended.done(exchange_status::kNotSent, std::move(answer));
+    StartNext();
+  }
+
   void Finish(exchange_status status, response answer) {
     if (status != exchange_status::kAnswered || answer.close) {
       stream_.reset();
--- a/plantaintiller/http/message.h
+++ b/plantaintiller/http/message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,6 +18,10 @@
   std::string body;
   /// Additional header fields that a client sends; servers leave it empty.
   std::vector<std::pair<std::string, std::string>> headers = {};
+  /// For clients: the request must not reach the server later than this after
+  /// the call. It is not written later, and a connection that has not delivered
+  /// it by then is reset, which drops what is still on its way.
+  std::optional<core::milliseconds> valid_for = {};
 };
 
 /// An answer, as returned by a handler.
--- a/plantaintiller/model/change_faults.cpp
+++ b/plantaintiller/model/change_faults.cpp
@@ -42,6 +42,10 @@
   const int last_kind = settings.store_restores ? 11
                         : settings.partitions   ? 9
                                                 : 7;
+  if (settings.held_promotions && DrawPercent(30)) {
+    HoldUpPromotions(span);
+    return;
+  }
   const int kind = settings.planned_changes_only ? 0 : DrawUpTo(last_kind);
   switch (kind) {
     case 0:
@@ -157,4 +161,10 @@
   });
 }
 
+void change_simulation::HoldUpPromotions(milliseconds span) {
+  LogFault("promotions held up");
+  held_promotion_percent = 60;
+  queue.ScheduleAfter(span, [this] { held_promotion_percent = 0; });
+}
+
 }  // namespace plantaintiller::model
--- a/plantaintiller/model/change_instance.cpp
+++ b/plantaintiller/model/change_instance.cpp
@@ -1,5 +1,6 @@
 #include "plantaintiller/model/change_instance.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "plantaintiller/model/change_simulation.h"
@@ -151,7 +152,20 @@
     const std::string&,
     const std::string& server,
     std::uint64_t token,
+    milliseconds valid_for,
     std::function<void(store::promotion_status)> done) {
+  const auto deliver_unknown = [this, done] {
+    simulated_world.queue.ScheduleAfter(store::kPromotionTimeout, [this, done] {
+      simulated_world.Deliver(
+          *this, [done] { done(store::promotion_status::kUnknown); });
+    });
+  };
+  if (simulated_world.held_promotion_percent > 0 &&
+      simulated_world.DrawPercent(simulated_world.held_promotion_percent)) {
+    HoldUpPromotion(server, token, valid_for);
+    deliver_unknown();
+    return;
+  }
   const bool lost =
       simulated_world.DrawPercent(simulated_world.lost_answer_percent);
   const milliseconds delay = lost ? milliseconds(simulated_world.DrawUpTo(8000))
@@ -169,11 +183,25 @@
         });
   });
   if (lost) {
-    simulated_world.queue.ScheduleAfter(store::kPromotionTimeout, [this, done] {
-      simulated_world.Deliver(
-          *this, [done] { done(store::promotion_status::kUnknown); });
-    });
+    deliver_unknown();
+  }
+}
+
+void change_instance::HoldUpPromotion(const std::string& server,
+                                      std::uint64_t token,
+                                      milliseconds valid_for) {
+  const milliseconds delay(simulated_world.DrawUpTo(6000));
+  // The client resets the connection when it gives up.
+  if (delay > std::min(valid_for, store::kPromotionTimeout) &&
+      !simulated_world.settings.deliver_expired_promotions) {
+    return;
   }
+  simulated_world.queue.ScheduleAfter(
+      delay, [this, server, token, holder = settings.holder] {
+        simulated_world.OnPromotionSent(token, holder);
+        simulated_world.ExecutePromotion(server, token, holder,
+                                         [](store::promotion_status) {});
+      });
 }
 
 void change_instance::SetTimer(const std::string&, milliseconds pause) {
--- a/plantaintiller/model/change_instance.h
+++ b/plantaintiller/model/change_instance.h
@@ -45,6 +45,7 @@
   void Promote(const std::string& group,
                const std::string& server,
                std::uint64_t token,
+               core::milliseconds valid_for,
                std::function<void(store::promotion_status)> done) override;
   void SetTimer(const std::string& group, core::milliseconds pause) override;
   std::uint64_t DrawNonce() override;
@@ -116,6 +117,10 @@
   };
 
   void StartRead(const std::string& leader);
+  /// Delivers a promotion late, or drops it if its time is over by then.
+  void HoldUpPromotion(const std::string& server,
+                       std::uint64_t token,
+                       core::milliseconds valid_for);
 
   std::vector<std::shared_ptr<leader_read>> reads_;
 };
--- a/plantaintiller/model/change_simulation.h
+++ b/plantaintiller/model/change_simulation.h
@@ -72,6 +72,7 @@
   bool HasCommits(const change_server& server, std::size_t count) const;
   void InjectRandomFault();
   void InjectPartition(core::milliseconds span);
+  void HoldUpPromotions(core::milliseconds span);
   /// Replaces the store's row by its state of some seconds ago.
   void RestoreOlderStore();
   void Crash(change_server& server, core::milliseconds span, bool empty);
@@ -95,6 +96,8 @@
   std::uint64_t highest_token = 0;
   std::map<std::uint64_t, std::string> token_holders;
   int lost_answer_percent = 0;
+  /// Share of the promotions that are held up on their way to the platform.
+  int held_promotion_percent = 0;
   int next_write = 1;
   struct unconfirmed_write {
     std::string leader;
--- a/plantaintiller/model/change_world.h
+++ b/plantaintiller/model/change_world.h
@@ -36,6 +36,11 @@
   bool store_restores = false;
   /// Whether the faults include partitions between servers and instances.
   bool partitions = false;
+  /// Whether the faults include links that hold up promotions on their way to
+  /// the platform.
+  bool held_promotions = false;
+  /// Defect: a promotion that was held up still arrives after its time.
+  bool deliver_expired_promotions = false;
   replication::injected_change_defects defects;
   replication::injected_check_defects check_defects;
 };
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -94,10 +94,13 @@
       std::function<void(std::optional<sessions::server_status>)> done) = 0;
   /// Asks the platform to make a server the leader of the group.
   /// @param token fencing token of the claim.
+  /// @param valid_for the order must not reach the platform later than this
+  /// after the call.
   /// @param done receives the result of the call.
   virtual void Promote(const std::string& group,
                        const std::string& server,
                        std::uint64_t token,
+                       core::milliseconds valid_for,
                        std::function<void(store::promotion_status)> done) = 0;
   /// Calls `primary_change::OnTimer` after a pause; replaces an earlier
   /// request.
@@ -276,8 +279,12 @@
   bool MayUnheldServerConfirm() const;
   void DemoteOldLeader();
   void OnDemoted(std::optional<sessions::server_status> status);
+  /// @return the time since the row that this claim replaced was read.
+  core::duration ClaimAge() const;
   /// @return whether no other instance can have claimed the group since.
   bool IsClaimValid() const;
+  /// @return the time after which another instance may claim the group.
+  core::milliseconds ClaimTimeLeft() const;
   void Promote();
   void OnPromoted(store::promotion_status status);
   void HoldReplicas();
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -71,9 +71,19 @@
   if (settings_.injected_defects.ignore_claim_age) {
     return true;
   }
-  const core::duration age = host_.Now() - claim_read_.at +
-                             host_.SuspendedTime() - claim_read_.suspended;
-  return age < settings_.claim_validity - settings_.claim_margin;
+  return ClaimAge() < settings_.claim_validity - settings_.claim_margin;
+}
+
+core::duration primary_change::ClaimAge() const {
+  return host_.Now() - claim_read_.at + host_.SuspendedTime() -
+         claim_read_.suspended;
+}
+
+core::milliseconds primary_change::ClaimTimeLeft() const {
+  if (settings_.injected_defects.ignore_claim_age) {
+    return settings_.claim_validity;
+  }
+  return core::ToMilliseconds(settings_.claim_validity - ClaimAge());
 }
 
 void primary_change::Promote() {
@@ -89,7 +99,7 @@
   outstanding_.insert(candidate_);
   candidate_position_ = StatusOf(candidate_)->received;
   const std::uint64_t round = ++request_round_;
-  host_.Promote(group_.Name(), candidate_, token_,
+  host_.Promote(group_.Name(), candidate_, token_, ClaimTimeLeft(),
                 [this, round](store::promotion_status status) {
                   if (round == request_round_ && step_ == step::kPromoting) {
                     OnPromoted(status);
@@ -259,7 +269,7 @@
                         old_leader_ + " token " + std::to_string(token_));
         outstanding_.insert(old_leader_);
         host_.Promote(
-            group_.Name(), old_leader_, token_,
+            group_.Name(), old_leader_, token_, ClaimTimeLeft(),
             [this, round](store::promotion_status result) {
               if (round == request_round_ && step_ == step::kFencing) {
                 OnFenced(result);
--- a/plantaintiller/store/promotion_service.h
+++ b/plantaintiller/store/promotion_service.h
@@ -52,6 +52,9 @@
   std::string holder;
   /// Fencing token, increased with each holder.
   std::uint64_t token = 0;
+  /// The order must not reach the platform later than this after the call: the
+  /// claim under which it was given has then lapsed.
+  core::milliseconds valid_for{0};
 };
 
 /// Longest wait for the answer to a promotion: several round trips between
@@ -63,7 +66,8 @@
 class promotion_service {
  public:
   virtual ~promotion_service() = default;
-  /// Promotes a server to leader of its group.
+  /// Promotes a server to leader of its group. Orders do not wait for each
+  /// other.
   /// @param done receives the result, later than the call.
   virtual void Promote(const promotion_order& order,
                        std::function<void(promotion_result)> done) = 0;
--- a/tests/model/change_world_test.cpp
+++ b/tests/model/change_world_test.cpp
@@ -198,6 +198,39 @@
   CHECK(IsDetected(settings));
 }
 
+/// As `UnfencedSettings`, with promotions that are held up on their way.
+/// Servers lose the lead at once, and nothing is carried out after its answer
+/// is lost, so that only the order of the promotions is checked.
+change_world_settings HeldPromotionSettings() {
+  change_world_settings settings;
+  settings.fencing = false;
+  settings.held_promotions = true;
+  settings.planned_changes_only = true;
+  settings.fault_count = 8;
+  return settings;
+}
+
+// A promotion that was held up on its way arrived after that of the instance
+// which had taken over, and the commits since were lost (ONE and LOST on
+// wirnik-diag).
+TEST_CASE("change_world: a held-up promotion does not follow a later one") {
+  for (std::uint64_t seed = 1; seed <= LastSeed(); ++seed) {
+    const change_world_result run =
+        SimulatePrimaryChanges(HeldPromotionSettings(), seed);
+    CHECK_MESSAGE(run.violations.empty(), Describe(seed, run));
+  }
+}
+
+TEST_CASE("change_world defect: a held-up promotion arrives after its time") {
+  change_world_settings settings = HeldPromotionSettings();
+  settings.deliver_expired_promotions = true;
+  bool found = false;
+  for (std::uint64_t seed = 1; seed <= kMaxSeedsWithDefect && !found; ++seed) {
+    found = !SimulatePrimaryChanges(settings, seed).violations.empty();
+  }
+  CHECK(found);
+}
+
 TEST_CASE("change_world defect: a promotion under an outdated claim") {
   change_world_settings settings = UnfencedSettings();
   settings.defects.ignore_claim_age = true;
