A claim from the future of the store's clock is respected

What callers would see: ONE, and LOST with it, when the store's clock goes back.

Cause: an instance judges the age of another's claim by the store's clock. A row that was claimed later than the store's present time counted as expired, so the claim of a holder at work was taken at once, while the holder, which measures with its own clock, went on to promote.

Evidence: with the old rule (injected defect trust_store_clock) a second promotion is ordered within 50 ms of the claim; with the new one none is.

Fix: for such a row the age is the time for which this instance has seen that version of the row by its own clock. It is a lower bound, so no holder that still acts is replaced, and the group isn't blocked for good.

--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -136,6 +136,8 @@
   bool ignore_claim_age = false;
   /// Leaves the old leader as it is.
   bool skip_demotion = false;
+  /// Takes a claim from the future of the store's clock for an expired one.
+  bool trust_store_clock = false;
   /// Counts tokens up from the row only, although the store has come back from
   /// an older copy.
   bool ignore_era = false;
@@ -303,6 +305,8 @@
   /// Records in the store that no promotion is outstanding.
   void SettleClaim();
   void Abandon(const std::string& reason);
+  /// @return whether the holder of a claim can no longer act under it.
+  bool HasExpired(const group_claim& claim, core::milliseconds store_now) const;
   /// @return holder, token and age of a claim for the log.
   std::string DescribeClaim(const group_claim& claim,
                             core::milliseconds store_now) const;
--- a/plantaintiller/replication/primary_claim.cpp
+++ b/plantaintiller/replication/primary_claim.cpp
@@ -45,6 +45,20 @@
   }
 }
 
+bool primary_change::HasExpired(const group_claim& claim,
+                                core::milliseconds store_now) const {
+  if (settings_.injected_defects.trust_store_clock &&
+      store_now < claim.claimed_at) {
+    return true;
+  }
+  // The store's clock has gone back if it is behind the claim. Only the time
+  // for which this instance has seen the row then tells its age.
+  const core::duration age = store_now < claim.claimed_at
+                                 ? host_.Now() - seen_at_
+                                 : store_now - claim.claimed_at;
+  return age >= settings_.claim_validity;
+}
+
 std::string primary_change::DescribeClaim(const group_claim& claim,
                                           core::milliseconds store_now) const {
   if (claim.version == 0) {
@@ -82,8 +96,7 @@
   }
   const bool claimed_by_other =
       claim->version > 0 && claim->holder != settings_.holder &&
-      !claim->settled && store_now >= claim->claimed_at &&
-      store_now - claim->claimed_at < settings_.claim_validity;
+      !claim->settled && !HasExpired(*claim, store_now);
   if (claimed_by_other) {
     Abandon("claimed_by_another " + DescribeClaim(*claim, store_now));
     return;
