A promotion takes effect before its claim lapses

Cause: an order was given up to 500 ms before the end of the claim. That covers the call, not the promotion itself, which takes 300 to 600 ms at the users' databases. The next holder may then compare the servers before the promotion takes effect and order another one after it; the commits acknowledged in between are not in that server's log. Fencing does not help, as its token is higher.

Fix: an order is given, and may reach the platform, only as long as delivery and the longest promotion end before the claim does.

--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -155,9 +155,9 @@
   /// Pause before an instance tries again to fence off a promotion that got no
   /// answer: its own claim has then expired.
   core::milliseconds settle_pause{2500};
-  /// A promotion is ordered only this long before the end of the validity: the
-  /// longest time that the call takes if it is answered at all.
-  core::milliseconds claim_margin{500};
+  /// Time that an order has to reach the platform. It is given only if this
+  /// time and that of the promotion itself end before the validity does.
+  core::milliseconds delivery_time{store::kPromotionTimeout};
   /// Time within which an accepted promotion takes effect: the longest one of
   /// the users' databases, with a margin.
   core::milliseconds longest_promotion{800};
@@ -285,8 +285,9 @@
   core::duration ClaimAge() const;
   /// @return whether no other instance can have claimed the group since.
   bool IsClaimValid() const;
-  /// @return the time after which another instance may claim the group.
-  core::milliseconds ClaimTimeLeft() const;
+  /// @return the time within which an order must reach the platform to take
+  /// effect before another instance may claim the group.
+  core::milliseconds OrderTimeLeft() const;
   void Promote();
   void OnPromoted(store::promotion_status status);
   void HoldReplicas();
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -71,7 +71,7 @@
   if (settings_.injected_defects.ignore_claim_age) {
     return true;
   }
-  return ClaimAge() < settings_.claim_validity - settings_.claim_margin;
+  return OrderTimeLeft() > settings_.delivery_time;
 }
 
 core::duration primary_change::ClaimAge() const {
@@ -79,11 +79,12 @@
          claim_read_.suspended;
 }
 
-core::milliseconds primary_change::ClaimTimeLeft() const {
+core::milliseconds primary_change::OrderTimeLeft() const {
   if (settings_.injected_defects.ignore_claim_age) {
     return settings_.claim_validity;
   }
-  return core::ToMilliseconds(settings_.claim_validity - ClaimAge());
+  return core::ToMilliseconds(settings_.claim_validity -
+                              settings_.longest_promotion - ClaimAge());
 }
 
 void primary_change::Promote() {
@@ -99,7 +100,7 @@
   outstanding_.insert(candidate_);
   candidate_position_ = StatusOf(candidate_)->received;
   const std::uint64_t round = ++request_round_;
-  host_.Promote(group_.Name(), candidate_, token_, ClaimTimeLeft(),
+  host_.Promote(group_.Name(), candidate_, token_, OrderTimeLeft(),
                 [this, round](store::promotion_status status) {
                   if (round == request_round_ && step_ == step::kPromoting) {
                     OnPromoted(status);
@@ -269,7 +270,7 @@
                         old_leader_ + " token " + std::to_string(token_));
         outstanding_.insert(old_leader_);
         host_.Promote(
-            group_.Name(), old_leader_, token_, ClaimTimeLeft(),
+            group_.Name(), old_leader_, token_, OrderTimeLeft(),
             [this, round](store::promotion_status result) {
               if (round == request_round_ && step_ == step::kFencing) {
                 OnFenced(result);
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -57,4 +57,31 @@
   CHECK(!world.orders.empty());
 }
 
+// A promotion took effect after another instance had taken over the claim and
+// compared the servers (LOST).
+TEST_CASE("primary_change: an order takes effect before its claim lapses") {
+  unfenced_fixture world;
+  world.store_latency = milliseconds(500);
+  const core::time_point started = world.now;
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(4000));
+  for (const change_fixture::order& each : world.orders) {
+    const auto end_of_claim =
+        each.row.claimed_at + world.settings.claim_validity;
+    CHECK(each.valid_for > milliseconds(0));
+    CHECK(core::ToMilliseconds(started.time_since_epoch()) < end_of_claim);
+    CHECK(each.valid_for + world.settings.longest_promotion <=
+          world.settings.claim_validity);
+  }
+  CHECK(!world.orders.empty());
+}
+
+TEST_CASE("primary_change: no order is given at the end of a claim") {
+  unfenced_fixture world;
+  world.store_latency = milliseconds(800);
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(4000));
+  CHECK(world.orders.empty());
+}
+
 }  // namespace plantaintiller::replication
