The claim's row names the server whose promotion may still be carried out

Cause: what an instance had ordered was known to that instance only. One that took over its claim saw an unsettled token and chose a server of its own. Without fencing each promotion also counted as outstanding for ever, answered or not, so that no claim was ever settled.

Fix, where the platform does not check tokens: the candidate is written into the row before its promotion is ordered, while the replicas are being held. The write has the row's version as condition, so it renews the claim and fails if another instance has taken it; no order is given then. An instance that takes over an unsettled claim goes on with the servers named there, so that a late promotion changes nothing. An answered promotion whose server leads is no longer outstanding, an unanswered one is for 8 s.

Evidence: the new cases of primary_change_test; on the code before there is no such record to test. One more call to the store for a change without fencing, none with it; in the model the write runs beside the holds.

--- a/plantaintiller/gateway/claim_codec.cpp
+++ b/plantaintiller/gateway/claim_codec.cpp
@@ -5,12 +5,16 @@
 namespace plantaintiller::gateway {
 
 std::string EncodeClaim(const replication::group_claim& claim) {
-  return boost::json::serialize(
-      boost::json::object{{"token", claim.token},
+  boost::json::object row{{"token", claim.token},
                           {"holder", claim.holder},
                           {"nonce", claim.nonce},
                           {"claimed_at_ms", claim.claimed_at.count()},
-                          {"settled", claim.settled}});
+                          {"settled", claim.settled}};
+  if (claim.candidates.has_value()) {
+    row["candidates"] =
+        boost::json::array(claim.candidates->begin(), claim.candidates->end());
+  }
+  return boost::json::serialize(row);
 }
 
 std::optional<replication::group_claim> DecodeClaim(const std::string& text) {
@@ -43,6 +47,18 @@
   const boost::json::value* settled = object.if_contains("settled");
   claim.settled =
       settled != nullptr && settled->is_bool() && settled->as_bool();
+  if (const boost::json::value* candidates = object.if_contains("candidates")) {
+    if (!candidates->is_array()) {
+      return std::nullopt;
+    }
+    claim.candidates.emplace();
+    for (const boost::json::value& each : candidates->as_array()) {
+      if (!each.is_string()) {
+        return std::nullopt;
+      }
+      claim.candidates->insert(std::string(each.as_string()));
+    }
+  }
   return claim;
 }
 
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -51,6 +51,8 @@
   holds_placed_ = false;
   promote_tries_ = 0;
   fence_tries_ = 0;
+  recording_ = false;
+  record_round_ += 1;
   releasing_holds_ = false;
   is_fenced_ = false;
   failed_rounds_ = 0;
@@ -71,6 +73,8 @@
     case step::kComparing:
       QueryServers(step::kComparing);
       return;
+    case step::kRecording:
+      return;
     case step::kPromoting:
       Promote();
       return;
@@ -214,6 +218,7 @@
     }
   }
   UpdateOldLeader();
+  ForgetLateOrders();
   const group_state::server* leader = group_.Find(old_leader_);
   const bool at_fault = old_leader_ == initial_leader_ &&
                         (reason_ == change_reason::kCommitsStalled ||
@@ -268,8 +273,9 @@
     RetryOrAbandon("no_candidate");
     return;
   }
-  if (IsPromotionOutstanding() && IsOutstandingCandidateIntact()) {
-    best = *outstanding_.begin();
+  if (const auto outstanding = IntactOutstandingCandidate();
+      outstanding.has_value() && IsPromotionOutstanding()) {
+    best = *outstanding;
   }
   candidate_ = best;
   promote_tries_ = 0;
@@ -281,6 +287,7 @@
     return;
   }
   QueryServers(step::kHolding);
+  RecordCandidate();
 }
 
 void primary_change::ClaimAgain(const char* reason) {
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -50,6 +50,10 @@
   /// any more, as far as its holder knows. While it is false, a promotion that
   /// got no answer may still be carried out.
   bool settled = false;
+  /// Servers whose promotion may have been ordered, under this token or an
+  /// earlier one, and may still be carried out. Recorded before the order where
+  /// the platform does not check tokens; nothing where it does.
+  std::optional<std::set<std::string>> candidates;
   store::row_version version = 0;
   /// Era of the store in which the row was read; not part of the row.
   std::uint64_t era = 0;
@@ -136,6 +140,8 @@
   bool ignore_claim_age = false;
   /// Leaves the old leader as it is.
   bool skip_demotion = false;
+  /// Orders promotions without recording the candidate.
+  bool skip_record = false;
   /// Takes a claim from the future of the store's clock for an expired one.
   bool trust_store_clock = false;
   /// Counts tokens up from the row only, although the store has come back from
@@ -158,6 +164,9 @@
   /// Time that an order has to reach the platform. It is given only if this
   /// time and that of the promotion itself end before the validity does.
   core::milliseconds delivery_time{store::kPromotionTimeout};
+  /// Longest time after which a promotion that got no answer is carried out,
+  /// where no token can prevent it: some seconds on the users' platform.
+  core::milliseconds late_promotion_limit{8000};
   /// Time within which an accepted promotion takes effect: the longest one of
   /// the users' databases, with a margin.
   core::milliseconds longest_promotion{800};
@@ -230,6 +239,8 @@
     /// Demotes the old leader, because a server that is not held could confirm
     /// its commits.
     kDemoting,
+    /// Waits until the row names the candidate.
+    kRecording,
     kPromoting,
     /// Waits until the candidate is the leader.
     kAwaitingPromotion,
@@ -243,6 +254,12 @@
     core::time_point at;
     core::duration suspended{0};
   };
+  /// An order that may still be carried out.
+  struct promotion_order {
+    core::time_point given;
+    /// Whether some call for this server got no answer.
+    bool unanswered = false;
+  };
   struct server_answer {
     std::optional<sessions::server_status> status;
   };
@@ -253,6 +270,18 @@
                core::milliseconds store_now,
                const read_time& read);
   void OnClaimWritten(const group_claim& claim, store::call_status status);
+  /// Takes over the promotions of an earlier holder that may still be carried
+  /// out.
+  void AddOrdersOf(const group_claim& claim, core::milliseconds store_now);
+  /// Writes the candidate into the row before its promotion is ordered, so that
+  /// an instance that takes over goes on with the same candidate. Renews the
+  /// claim.
+  void RecordCandidate();
+  void OnCandidateRecorded(const group_claim& claim,
+                           const read_time& renewed,
+                           store::call_status status);
+  /// @return whether the row names the candidate, if it has to.
+  bool IsCandidateRecorded() const;
   /// Called with the era of each answer of the store. In a new era a claim of
   /// an earlier one is no longer recognized as this instance's own.
   void OnEraSeen(std::uint64_t era);
@@ -297,9 +326,14 @@
   bool IsPromotionOutstanding() const;
   /// @return whether such a promotion does harm and can be fenced off.
   bool NeedsFence() const;
-  /// @return whether the server of all outstanding promotions still has the log
-  /// that it had then, and its promotion can be repeated at once.
-  bool IsOutstandingCandidateIntact() const;
+  /// @return the server of an outstanding promotion that still has the log that
+  /// it had then, so that its promotion can be repeated at once.
+  std::optional<std::string> IntactOutstandingCandidate() const;
+  bool IsIntact(const std::string& server) const;
+  /// Forgets the order for a server, unless a call for it got no answer.
+  void ForgetAnsweredOrder(const std::string& server);
+  /// Forgets promotions that can no longer be carried out.
+  void ForgetLateOrders();
   void Fence();
   void OnFenced(store::promotion_status status);
   void ReleaseHolds();
@@ -354,9 +388,12 @@
   core::time_point era_raised_;
   /// When the claim that this one replaced was read.
   read_time claim_read_;
-  /// Servers of the promotions, of this or an earlier change, that may still be
-  /// carried out; `kUnknownServer` for one of another instance.
-  std::set<std::string> outstanding_;
+  /// Promotions, of this or an earlier change, that may still be carried out,
+  /// by server; `kUnknownServer` for one of another instance.
+  std::map<std::string, promotion_order> outstanding_;
+  /// Number of the latest write of a candidate; 0 if none is in progress.
+  std::uint64_t record_round_ = 0;
+  bool recording_ = false;
   /// Position of the candidate when its promotion was ordered.
   core::log_position candidate_position_;
   /// Whether a promotion of the present leader was accepted under the token.
--- a/plantaintiller/replication/primary_claim.cpp
+++ b/plantaintiller/replication/primary_claim.cpp
@@ -29,6 +29,8 @@
   const std::uint64_t round = ++request_round_;
   const core::time_point read_at = host_.Now();
   const core::duration suspended = host_.SuspendedTime();
+  recording_ = false;
+  record_round_ += 1;
   host_.ReadClaim(group_.Name(), [this, round, read_at, suspended](
                                      std::optional<group_claim> claim,
                                      core::milliseconds store_now) {
@@ -107,7 +109,7 @@
     outstanding_.clear();
   } else if (claim->token > 0 && !claim->settled &&
              claim->holder != settings_.holder) {
-    outstanding_.insert(kUnknownServer);
+    AddOrdersOf(*claim, store_now);
   }
   if (settings_.injected_defects.reuse_token && claim->token > 0) {
     token_ = claim->token;
@@ -124,6 +126,9 @@
   next.nonce = host_.DrawNonce();
   next.claimed_at = store_now;
   next.settled = false;
+  if (!settings_.fencing && !next.candidates.has_value()) {
+    next.candidates.emplace();
+  }
   nonce_ = next.nonce;
   claim_read_ = read;
   const std::uint64_t round = ++request_round_;
@@ -137,6 +142,74 @@
                    });
 }
 
+void primary_change::AddOrdersOf(const group_claim& claim,
+                                 core::milliseconds store_now) {
+  if (settings_.fencing || !claim.candidates.has_value()) {
+    outstanding_[kUnknownServer] = {host_.Now(), true};
+    return;
+  }
+  // The holder could give an order until its claim lapsed.
+  const core::milliseconds lapsed =
+      store_now - claim.claimed_at - settings_.claim_validity;
+  for (const std::string& each : *claim.candidates) {
+    promotion_order& order = outstanding_[each];
+    order.given = std::max(
+        order.given, host_.Now() - std::max(lapsed, core::milliseconds(0)));
+    order.unanswered = true;
+  }
+}
+
+bool primary_change::IsCandidateRecorded() const {
+  return settings_.fencing || settings_.injected_defects.skip_record ||
+         (claim_.candidates.has_value() &&
+          claim_.candidates->contains(candidate_));
+}
+
+void primary_change::RecordCandidate() {
+  if (recording_ || IsCandidateRecorded() ||
+      (step_ != step::kHolding && step_ != step::kRecording)) {
+    return;
+  }
+  group_claim next = claim_;
+  // The write succeeds only if this instance still has the claim, so that it
+  // renews the claim as well.
+  next.claimed_at += core::ToMilliseconds(ClaimAge());
+  next.candidates.emplace({candidate_});
+  for (const auto& [server, order] : outstanding_) {
+    next.candidates->insert(server);
+  }
+  recording_ = true;
+  const read_time renewed{host_.Now(), host_.SuspendedTime()};
+  const std::uint64_t round = ++record_round_;
+  host_.WriteClaim(
+      group_.Name(), next,
+      [this, round, next, renewed](store::call_status status,
+                                   store::row_version version) mutable {
+        if (round == record_round_ && recording_) {
+          next.version = version;
+          OnCandidateRecorded(next, renewed, status);
+        }
+      });
+}
+
+void primary_change::OnCandidateRecorded(const group_claim& claim,
+                                         const read_time& renewed,
+                                         store::call_status status) {
+  recording_ = false;
+  const bool is_waiting = step_ == step::kRecording;
+  if (status == store::call_status::kDone) {
+    OnEraSeen(store::EraOf(claim.version));
+    claim_ = claim;
+    claim_read_ = renewed;
+    if (is_waiting) {
+      // The positions are compared again, as they were before the write.
+      QueryServers(step::kComparing);
+    }
+  } else if (is_waiting) {
+    ClaimAgain("not_recorded");
+  }
+}
+
 void primary_change::OnEraSeen(std::uint64_t era) {
   if (settings_.injected_defects.ignore_era) {
     return;
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -88,6 +88,11 @@
 }
 
 void primary_change::Promote() {
+  if (!IsCandidateRecorded()) {
+    step_ = step::kRecording;
+    RecordCandidate();
+    return;
+  }
   if (!IsClaimValid()) {
     ClaimAgain("claim_aged");
     return;
@@ -97,7 +102,7 @@
   promotion_checks_ = 0;
   host_.LogChange(group_.Name(), "promote",
                   candidate_ + " token " + std::to_string(token_));
-  outstanding_.insert(candidate_);
+  outstanding_[candidate_].given = host_.Now();
   candidate_position_ = StatusOf(candidate_)->received;
   const std::uint64_t round = ++request_round_;
   host_.Promote(group_.Name(), candidate_, token_, OrderTimeLeft(),
@@ -119,9 +124,11 @@
       host_.SetTimer(group_.Name(), kPromotionCheckPause);
       return;
     case store::promotion_status::kSuperseded:
+      ForgetAnsweredOrder(candidate_);
       Abandon("superseded");
       return;
     case store::promotion_status::kRefused:
+      ForgetAnsweredOrder(candidate_);
       if (promote_tries_ >= kMaxPromoteTries) {
         RetryOrAbandon("promotion_refused");
         return;
@@ -134,6 +141,7 @@
       // The call may be carried out seconds later, when the candidate has
       // restarted with an empty log. The next call is made under a higher
       // token; once accepted, it fences this one off.
+      outstanding_[candidate_].unanswered = true;
       ClaimAgain("promotion_unanswered");
       return;
   }
@@ -176,6 +184,7 @@
         }
         if (status.has_value() && status->is_primary) {
           group_.OnLeaderSeen(candidate_, status->term, host_.Now());
+          ForgetAnsweredOrder(candidate_);
           if (!old_leader_.empty() && old_leader_ != candidate_ &&
               !settings_.injected_defects.skip_demotion) {
             host_.SendCommand(group_.Name(), old_leader_,
@@ -215,31 +224,60 @@
   // A promotion of the present leader changes nothing.
   return std::any_of(outstanding_.begin(), outstanding_.end(),
                      [this](const auto& each) {
-                       return !leader_answered_ || each != old_leader_;
+                       return !leader_answered_ || each.first != old_leader_;
                      });
 }
 
-bool primary_change::IsOutstandingCandidateIntact() const {
-  if (outstanding_.size() != 1 || failed_rounds_ > 0) {
-    return false;
+void primary_change::ForgetAnsweredOrder(const std::string& server) {
+  const auto found = outstanding_.find(server);
+  if (found != outstanding_.end() && !found->second.unanswered) {
+    outstanding_.erase(found);
   }
-  const std::string& server = *outstanding_.begin();
+}
+
+void primary_change::ForgetLateOrders() {
+  if (settings_.fencing) {
+    return;
+  }
+  std::erase_if(outstanding_, [this](const auto& each) {
+    return host_.Now() - each.second.given > settings_.late_promotion_limit;
+  });
+}
+
+std::optional<std::string> primary_change::IntactOutstandingCandidate() const {
+  if (settings_.fencing && (outstanding_.size() != 1 || failed_rounds_ > 0 ||
+                            !outstanding_.contains(candidate_))) {
+    return std::nullopt;
+  }
+  for (const auto& [server, order] : outstanding_) {
+    if (IsIntact(server)) {
+      return server;
+    }
+  }
+  return std::nullopt;
+}
+
+bool primary_change::IsIntact(const std::string& server) const {
   const sessions::server_status* status = StatusOf(server);
   const group_state::server* listed = group_.Find(server);
-  const bool intact = status != nullptr && listed != nullptr &&
-                      !listed->entry.draining && !status->is_primary &&
-                      server == candidate_ &&
-                      status->received >= candidate_position_;
+  const bool intact =
+      status != nullptr && listed != nullptr && !listed->entry.draining &&
+      !status->is_primary &&
+      (server != candidate_ || status->received >= candidate_position_);
+  // A server that is behind catches up with a leader that answers.
   return intact &&
-         std::none_of(answers_.begin(), answers_.end(), [&](const auto& each) {
-           return each.first != old_leader_ && each.second.status.has_value() &&
-                  each.second.status->received > status->received;
-         });
+         ((leader_answered_ && !settings_.fencing) ||
+          std::none_of(answers_.begin(), answers_.end(), [&](const auto& each) {
+            return each.first != old_leader_ &&
+                   each.second.status.has_value() &&
+                   each.second.status->received > status->received;
+          }));
 }
 
 bool primary_change::NeedsFence() const {
   return settings_.fencing && leader_answered_ && IsPromotionOutstanding() &&
-         !IsOutstandingCandidateIntact() && fence_tries_ < kMaxPromoteTries;
+         !IntactOutstandingCandidate().has_value() &&
+         fence_tries_ < kMaxPromoteTries;
 }
 
 void primary_change::Fence() {
@@ -268,7 +306,7 @@
         }
         host_.LogChange(group_.Name(), "fence",
                         old_leader_ + " token " + std::to_string(token_));
-        outstanding_.insert(old_leader_);
+        outstanding_[old_leader_].given = host_.Now();
         host_.Promote(
             group_.Name(), old_leader_, token_, OrderTimeLeft(),
             [this, round](store::promotion_status result) {
@@ -311,12 +349,17 @@
 }
 
 void primary_change::SettleClaim() {
-  if (IsPromotionOutstanding() || claim_.token != token_ || claim_.settled ||
+  // Without fencing a promotion of the present leader does harm later, once
+  // another server leads.
+  const bool is_outstanding =
+      settings_.fencing ? IsPromotionOutstanding() : !outstanding_.empty();
+  if (is_outstanding || claim_.token != token_ || claim_.settled ||
       token_ == 0) {
     return;
   }
   outstanding_.clear();
   claim_.settled = true;
+  claim_.candidates.reset();
   const group_claim& settled = claim_;
   host_.WriteClaim(group_.Name(), settled,
                    [](store::call_status, store::row_version) {});
@@ -332,7 +375,10 @@
   if (!leader.empty()) {
     blocked_since_ = {};
   }
+  ForgetLateOrders();
   SettleClaim();
+  recording_ = false;
+  record_round_ += 1;
   request_round_ += 1;
   nonce_ = 0;
   if (settings_.fencing && IsPromotionOutstanding()) {
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -78,10 +78,79 @@
 
 TEST_CASE("primary_change: no order is given at the end of a claim") {
   unfenced_fixture world;
+  world.settings.injected_defects.skip_record = true;
   world.store_latency = milliseconds(800);
   world.change->Start(change_reason::kLeaving);
   world.Run(milliseconds(4000));
   CHECK(world.orders.empty());
 }
 
+// An instance that took over did not know which server its predecessor had
+// ordered to be promoted, and chose another one (LOST).
+TEST_CASE("primary_change: the row names the candidate before the order") {
+  unfenced_fixture world;
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(100));
+  REQUIRE(world.orders.size() == 1);
+  REQUIRE(world.orders[0].row.candidates.has_value());
+  CHECK(world.orders[0].row.candidates->contains(world.orders[0].server));
+}
+
+TEST_CASE("primary_change: no order without the claim") {
+  unfenced_fixture world;
+  world.change->Start(change_reason::kLeaving);
+  // The claim is written after two calls; the candidate is recorded after that.
+  world.Run(milliseconds(11));
+  REQUIRE(world.written.size() == 1);
+  world.SetClaimOfOther(9, world.StoreNow());
+  world.Run(milliseconds(200));
+  CHECK(world.orders.empty());
+}
+
+TEST_CASE("primary_change: the candidate of an unsettled claim is promoted") {
+  unfenced_fixture world;
+  world.SetClaimOfOther(7, world.StoreNow() - milliseconds(2600));
+  world.row.candidates = {"c"};
+  // "b" is ahead, but "c" catches up with the leader.
+  world.servers["c"].received = {1, 9};
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(30));
+  world.servers["c"].received = {1, 10};
+  world.Run(milliseconds(200));
+  REQUIRE(!world.orders.empty());
+  CHECK(world.orders[0].server == "c");
+}
+
+TEST_CASE(
+    "primary_change: a claim under which all orders were answered settles") {
+  unfenced_fixture world;
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(50));
+  REQUIRE(world.orders.size() == 1);
+  const std::string leader = world.orders[0].server;
+  world.servers["a"].is_primary = false;
+  world.servers[leader].is_primary = true;
+  world.servers[leader].term = 2;
+  world.Run(milliseconds(200));
+  CHECK(world.leaders == std::vector{leader});
+  CHECK(world.row.settled);
+}
+
+TEST_CASE("primary_change: a claim with an unanswered order does not settle") {
+  unfenced_fixture world;
+  world.promotion_answer = store::promotion_status::kUnknown;
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(30));
+  REQUIRE(!world.orders.empty());
+  const std::string leader = world.orders[0].server;
+  world.servers["a"].is_primary = false;
+  world.servers[leader].is_primary = true;
+  world.servers[leader].term = 2;
+  world.Run(milliseconds(300));
+  CHECK(world.leaders == std::vector{leader});
+  CHECK(!world.row.settled);
+  REQUIRE(world.row.candidates.has_value());
+  CHECK(world.row.candidates->contains(leader));
+}
+
 }  // namespace plantaintiller::replication
