Holds are released only under a valid claim

What callers would see: LOST. An instance that gives up its change ends the holds of the replicas. If another instance has taken over since, it ends that instance's holds, and a replica confirms commits that the new candidate lacks.

The preparation is given up after 4 s, the claim lapses after 2.5 s.

Fix: the claim is renewed first; if it is lost, the holds are the other holder's. Connections to servers drop undelivered bytes after 700 ms, so a command does not arrive later either.

--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -338,6 +338,12 @@
 }
 
 void primary_change::ReleaseHolds() {
+  // Holds carry a term, their end does not: it would end those of the next
+  // holder.
+  if (!IsClaimValid()) {
+    ClaimAgain("claim_aged");
+    return;
+  }
   for (const auto& [id, answer] : answers_) {
     if (id != old_leader_) {
       host_.SendCommand(group_.Name(), id, server_command::kResume, 0,
--- a/tests/replication/change_fixture.h
+++ b/tests/replication/change_fixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <deque>
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -112,6 +112,7 @@
                    std::function<void(std::optional<sessions::server_status>)>
                        done) override {
     After(server_latency, [this, server, command, term, done] {
+      commands.emplace_back(server, command);
       if (unreachable.contains(server)) {
         done(std::nullopt);
         return;
@@ -169,6 +170,13 @@
   store::row_version newest_version = 0;
   std::vector<group_claim> written;
   std::vector<order> orders;
+  /// Commands in the order of their execution.
+  std::vector<std::pair<std::string, server_command>> commands;
+  std::size_t CountOf(server_command command) const {
+    return static_cast<std::size_t>(std::count_if(
+        commands.begin(), commands.end(),
+        [&](const auto& each) { return each.second == command; }));
+  }
   store::promotion_status promotion_answer = store::promotion_status::kAccepted;
   /// One entry for each change that ended: its leader, or nothing.
   std::vector<std::string> leaders;
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -153,4 +153,29 @@
   CHECK(world.row.candidates->contains(leader));
 }
 
+// An instance whose claim had lapsed ended the holds of the next holder, so
+// that a replica confirmed commits that the candidate lacks.
+TEST_CASE("primary_change: holds of the next holder are not released") {
+  unfenced_fixture world;
+  // The candidate never catches up, so the change is given up in the end.
+  world.servers["a"].received = {1, 20};
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(3900));
+  REQUIRE(world.CountOf(server_command::kHold) > 0);
+  world.SetClaimOfOther(9, world.StoreNow());
+  world.Run(milliseconds(2000));
+  CHECK(world.CountOf(server_command::kResume) == 0);
+  CHECK(world.leaders == std::vector<std::string>{""});
+}
+
+TEST_CASE("primary_change: holds are released if the change is given up") {
+  unfenced_fixture world;
+  world.servers["a"].received = {1, 20};
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(6000));
+  CHECK(world.CountOf(server_command::kResume) > 0);
+  CHECK(world.servers["b"].held_term == 0);
+  CHECK(world.servers["c"].held_term == 0);
+}
+
 }  // namespace plantaintiller::replication
