A change goes on when its candidate begins to drain

What callers saw: LOST in planned work.

If it began to drain before its promotion was ordered, it was dropped from the choice, also when the leader had gone and nobody else had those commits. The next candidate was held and could receive nothing, and without fencing holds were never ended, as each earlier promotion counted as outstanding.

A candidate that an earlier change has held is resumed while the leader answers.

--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -210,6 +210,49 @@
   }
 }
 
+std::string primary_change::LongestLog(bool with_draining) const {
+  std::string best;
+  for (const auto& [id, answer] : answers_) {
+    const auto listed = group_.Servers().find(id);
+    if (!answer.status.has_value() || answer.status->is_primary ||
+        listed == group_.Servers().end() ||
+        (listed->second.entry.draining && !with_draining)) {
+      continue;
+    }
+    const auto rank = [this](const std::string& server) {
+      return std::pair(
+          StatusOf(server)->received,
+          -static_cast<int>(group_.Servers().at(server).zone_distance));
+    };
+    if (best.empty() || rank(id) > rank(best)) {
+      best = id;
+    }
+  }
+  return best;
+}
+
+std::string primary_change::BestCandidate() const {
+  const std::string staying = LongestLog(false);
+  if (leader_answered_) {
+    return staying;
+  }
+  const std::string any = LongestLog(true);
+  const bool draining_has_more =
+      !any.empty() && (staying.empty() ||
+                       StatusOf(any)->received > StatusOf(staying)->received);
+  return draining_has_more ? any : staying;
+}
+
+void primary_change::ResumeCandidate() {
+  if (!leader_answered_ || StatusOf(candidate_)->held_term == 0 ||
+      IsPromotionOutstanding()) {
+    return;
+  }
+  host_.LogChange(group_.Name(), "resume", candidate_);
+  host_.SendCommand(group_.Name(), candidate_, server_command::kResume, 0,
+                    [](std::optional<sessions::server_status>) {});
+}
+
 void primary_change::ChooseCandidate() {
   core::term_number newest = 0;
   for (const auto& [id, answer] : answers_) {
@@ -249,26 +292,7 @@
     ReleaseHolds();
     return;
   }
-  std::string best;
-  for (const auto& [id, answer] : answers_) {
-    const group_state::server* each = group_.Find(id);
-    // A demoted leader may be the only server with all commits, also if it is
-    // about to stop.
-    const bool was_demoted = id == initial_leader_ && !leader_answered_;
-    if (!answer.status.has_value() || answer.status->is_primary ||
-        each == nullptr || (each->entry.draining && !was_demoted)) {
-      continue;
-    }
-    const bool better =
-        best.empty() ||
-        std::pair(answer.status->received,
-                  -static_cast<int>(each->zone_distance)) >
-            std::pair(answers_[best].status->received,
-                      -static_cast<int>(group_.Find(best)->zone_distance));
-    if (better) {
-      best = id;
-    }
-  }
+  std::string best = BestCandidate();
   if (best.empty()) {
     RetryOrAbandon("no_candidate");
     return;
@@ -286,6 +310,7 @@
     RetryOrAbandon("replica_unknown");
     return;
   }
+  ResumeCandidate();
   QueryServers(step::kHolding);
   RecordCandidate();
 }
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -291,6 +291,17 @@
                 std::optional<sessions::server_status> status);
   void OnAllAnswered();
   void ChooseCandidate();
+  /// @return the replica that has answered with the longest log, the nearest of
+  /// several; empty if there is none.
+  /// @param with_draining whether it may be about to stop.
+  std::string LongestLog(bool with_draining) const;
+  /// @return the server to promote; empty if there is none. One that is about
+  /// to stop is promoted only if it has commits that no other server can still
+  /// receive.
+  std::string BestCandidate() const;
+  /// Ends the hold of the candidate, which an earlier change may have placed,
+  /// so that it can catch up with the leader.
+  void ResumeCandidate();
   void Compare();
   /// Whether a server other than the candidate may confirm commits.
   bool MayConfirm(const std::string& server) const;
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -178,4 +178,39 @@
   CHECK(world.servers["c"].held_term == 0);
 }
 
+// A candidate that began to drain was dropped although it alone had the latest
+// commits; the other replica stayed held, and the group without a leader until
+// an instance that knew nothing of them promoted it (LOST, review case 1).
+TEST_CASE("primary_change: a draining server that alone has all is promoted") {
+  unfenced_fixture world;
+  world.unreachable.insert("a");
+  world.servers["b"].received = {1, 15};
+  world.draining.insert("b");
+  world.List();
+  world.servers["c"].held_term = 2;
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(3500));
+  REQUIRE(!world.orders.empty());
+  CHECK(world.orders[0].server == "b");
+}
+
+TEST_CASE(
+    "primary_change: a held replica catches up once it is the candidate") {
+  unfenced_fixture world;
+  world.servers["a"].received = {1, 15};
+  world.servers["b"].received = {1, 15};
+  world.draining.insert("b");
+  world.List();
+  world.servers["c"].held_term = 2;
+  world.change->Start(change_reason::kLeaving);
+  for (int n = 0; n < 300 && world.orders.empty(); ++n) {
+    world.Run(milliseconds(10));
+    if (world.servers["c"].held_term == 0) {
+      world.servers["c"].received = world.servers["a"].received;
+    }
+  }
+  REQUIRE(!world.orders.empty());
+  CHECK(world.orders[0].server == "c");
+}
+
 }  // namespace plantaintiller::replication
