Replicas that join during a change of primary are held

Cause: the change holds the servers that it asked. A replica that joins after that is not held, receives at once and confirms commits of the old leader that the candidate may lack, until the promotion takes effect 300 ms later.

Evidence: two new tests; with the holds of before, each failed.

Fix: the list is read again when the holds are placed and while the promotion is awaited; new servers are held with the others, and asked before the order.

What is left: a replica that confirms a commit before it is in the list that the store returns.

--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -203,6 +203,7 @@
   // leader_controller_listener
   void OnLeaderChange(const std::string& group) override;
   void OnPromotionCall(store::promotion_status status) override;
+  void OnListNeeded() override { watch_.ReadServersSoon(); }
   std::size_t LiveInstances() const override {
     return exchange_.LivePeers() + 1;
   }
--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -135,6 +135,7 @@
     // The nonce is stored as a JSON number, which is exact only up to 2^53.
     return random_() >> 12U;
   }
+  void RequestList() override { listener_.OnListNeeded(); }
   void OnChangeClaimed(const std::string& group) override {
     listener_.OnLeaderChange(group);
   }
--- a/plantaintiller/gateway/leader_controller.h
+++ b/plantaintiller/gateway/leader_controller.h
@@ -35,6 +35,8 @@
   virtual void OnLeaderChange(const std::string& group) = 0;
   /// Called when a call to promote a server has ended.
   virtual void OnPromotionCall(store::promotion_status status) = 0;
+  /// Called when a newer list of servers is needed.
+  virtual void OnListNeeded() = 0;
   /// Number of live instances, with this one.
   virtual std::size_t LiveInstances() const = 0;
 };
--- a/plantaintiller/model/change_instance.h
+++ b/plantaintiller/model/change_instance.h
@@ -49,6 +49,8 @@
                std::function<void(store::promotion_status)> done) override;
   void SetTimer(const std::string& group, core::milliseconds pause) override;
   std::uint64_t DrawNonce() override;
+  /// The simulated servers never join.
+  void RequestList() override {}
   void OnChangeClaimed(const std::string&) override {}
   void OnChangeDone(const std::string&,
                     const std::string&,
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -311,6 +311,7 @@
     return;
   }
   ResumeCandidate();
+  host_.RequestList();
   QueryServers(step::kHolding);
   RecordCandidate();
 }
@@ -447,6 +448,10 @@
     RetryOrAbandon("candidate_lacks");
     return;
   }
+  if (IsListNewer()) {
+    QueryServers(step::kComparing);
+    return;
+  }
   if (leader_answered_ && MayUnheldServerConfirm() &&
       !settings_.injected_defects.skip_demotion) {
     DemoteOldLeader();
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -106,6 +106,9 @@
                        std::uint64_t token,
                        core::milliseconds valid_for,
                        std::function<void(store::promotion_status)> done) = 0;
+  /// Asks for a newer list of servers: one that has just joined confirms
+  /// commits at once.
+  virtual void RequestList() = 0;
   /// Calls `primary_change::OnTimer` after a pause; replaces an earlier
   /// request.
   virtual void SetTimer(const std::string& group, core::milliseconds pause) = 0;
@@ -331,6 +334,8 @@
   void Promote();
   void OnPromoted(store::promotion_status status);
   void HoldReplicas();
+  /// @return whether a listed server was not asked in the last round.
+  bool IsListNewer() const;
   void CheckPromotion();
   /// @return whether a promotion that got no answer may still be carried out at
   /// a server other than the present leader.
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -147,8 +147,23 @@
   }
 }
 
+bool primary_change::IsListNewer() const {
+  return std::any_of(group_.Servers().begin(), group_.Servers().end(),
+                     [this](const auto& each) {
+                       return MayConfirm(each.first) &&
+                              !answers_.contains(each.first);
+                     });
+}
+
 void primary_change::HoldReplicas() {
+  std::set<std::string> servers;
   for (const auto& [id, answer] : answers_) {
+    servers.insert(id);
+  }
+  for (const auto& [id, listed] : group_.Servers()) {
+    servers.insert(id);
+  }
+  for (const std::string& id : servers) {
     if (MayConfirm(id) && !settings_.injected_defects.skip_holds) {
       host_.SendCommand(group_.Name(), id, server_command::kHold, hold_term_,
                         [](std::optional<sessions::server_status>) {});
@@ -174,6 +189,7 @@
   // A server that restarts during the promotion is no longer held.
   if (promotion_checks_++ % kChecksPerHold == 0) {
     HoldReplicas();
+    host_.RequestList();
   }
   const std::uint64_t round = ++request_round_;
   host_.SendCommand(
--- a/tests/replication/change_fixture.h
+++ b/tests/replication/change_fixture.h
@@ -145,6 +145,7 @@
     });
   }
   std::uint64_t DrawNonce() override { return ++nonce; }
+  void RequestList() override { list_requests += 1; }
   void OnChangeClaimed(const std::string&) override {}
   void OnChangeDone(const std::string&,
                     const std::string& leader,
@@ -170,6 +171,7 @@
   store::row_version newest_version = 0;
   std::vector<group_claim> written;
   std::vector<order> orders;
+  int list_requests = 0;
   /// Commands in the order of their execution.
   std::vector<std::pair<std::string, server_command>> commands;
   std::size_t CountOf(server_command command) const {
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -213,4 +213,34 @@
   CHECK(world.orders[0].server == "c");
 }
 
+// A replica that joined while a promotion was under way was not held. It
+// confirmed a commit that the candidate did not have (LOST, single commits).
+TEST_CASE("primary_change: a replica that joins during the promotion is held") {
+  unfenced_fixture world;
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(50));
+  REQUIRE(world.orders.size() == 1);
+  world.servers["d"] = world.servers["c"];
+  world.servers["d"].held_term = 0;
+  world.List();
+  world.Run(milliseconds(100));
+  CHECK(world.servers["d"].held_term > 0);
+  CHECK(world.list_requests > 0);
+}
+
+TEST_CASE(
+    "primary_change: a replica that joins before the order is held first") {
+  unfenced_fixture world;
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(13));
+  REQUIRE(world.orders.empty());
+  world.servers["d"] = world.servers["c"];
+  world.servers["d"].held_term = 0;
+  world.List();
+  while (world.orders.empty()) {
+    world.Run(milliseconds(1));
+  }
+  CHECK(world.servers["d"].held_term > 0);
+}
+
 }  // namespace plantaintiller::replication
