--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -231,8 +231,9 @@
 TEST_CASE(
     "primary_change: a replica that joins before the order is held first") {
   unfenced_fixture world;
+  world.settings.injected_defects.skip_record = true;
   world.change->Start(change_reason::kLeaving);
-  world.Run(milliseconds(13));
+  world.Run(milliseconds(15));
   REQUIRE(world.orders.empty());
   world.servers["d"] = world.servers["c"];
   world.servers["d"].held_term = 0;
