--- a/plantaintiller/gateway/instance_registry.cpp
+++ b/plantaintiller/gateway/instance_registry.cpp
@@ -110,7 +110,7 @@
       }
     }
     if (answer.truncated && !answer.rows.empty()) {
-      Read(answer.rows.back().key + "%01");
+      Read(answer.rows.back().key + '\x01');
       return;
     }
     backoff_.OnSuccess();
--- a/plantaintiller/gateway/store_watch.cpp
+++ b/plantaintiller/gateway/store_watch.cpp
@@ -200,7 +200,7 @@
   }
   if (answer.truncated && !last.empty()) {
     // The smallest key above the last one.
-    ReadServers(last + "%01");
+    ReadServers(last + '\x01');
     return;
   }
   reading_servers_ = false;
--- a/tests/platform/directory_json_codec_test.cpp
+++ b/tests/platform/directory_json_codec_test.cpp
@@ -58,6 +58,67 @@
   CHECK_FALSE(codec.DecodeServer("i", "\xff\xfe").has_value());
 }
 
+// An odd entry of another writer ended processes, or blocked the changes of
+// primary of its group as a server that never answers (other operators'
+// report).
+TEST_CASE("directory codec: an odd entry is not a server") {
+  const directory_json_codec codec;
+  for (const auto& [from, to] :
+       std::initializer_list<std::pair<std::string, std::string>>{
+           {R"("10.0.0.9:80")", R"("10.0.0.9:70000")"},
+           {R"("10.0.0.9:80")", R"("10.0.0.9:65536")"},
+           {R"("10.0.0.9:80")", R"("10.0.0.9:0")"},
+           {R"("10.0.0.9:80")", R"("10.0.0.9:-1")"},
+           {R"("10.0.0.9:80")", R"("10.0.0.9:80x")"},
+           {R"("10.0.0.9:80")", R"("999.0.0.9:80")"},
+           {R"("10.0.0.9:80")", R"("database:80")"},
+           {R"("slots":2)", R"("slots":1e300)"},
+           {R"("slots":2)", R"("slots":-1e300)"},
+           {R"("slots":2)", R"("slots":4294967297)"},
+           {R"("slots":2)", R"("slots":2147483647)"},
+           {R"("slots":2)", R"("slots":18446744073709551615)"},
+           {R"("slots":2)", R"("slots":99999999999999999999999)"},
+           {R"("slots":2)", R"("slots":1e999)"},
+           {R"("born":17)", R"("born":1e300)"},
+           {R"("seq":4)", R"("seq":-1e300)"},
+           {R"("zone":"z")", R"("zone":"z z")"},
+           {R"("service":"g")", R"("service":"g\r\nQUERY")"}}) {
+    CAPTURE(to);
+    CHECK_FALSE(
+        codec.DecodeServer("i", Replaced(kServer, from, to)).has_value());
+  }
+  CHECK_FALSE(codec.DecodeServer("i 1", kServer).has_value());
+  CHECK_FALSE(codec.DecodeServer("i\r\n", kServer).has_value());
+  CHECK_FALSE(codec.DecodeServer("", kServer).has_value());
+}
+
+TEST_CASE("directory codec: a deeply nested entry is not a server") {
+  const directory_json_codec codec;
+  for (const std::size_t depth : {40, 20000}) {
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(codec.DecodeServer("i", nested).has_value());
+    CHECK_FALSE(codec
+                    .DecodeServer("i", Replaced(kServer, R"("seq":4)",
+                                                R"("seq":4,"more":)" + nested))
+                    .has_value());
+  }
+}
+
+TEST_CASE("directory codec: numbers of a configuration that are too large") {
+  const directory_json_codec codec;
+  const auto table = codec.DecodeRoutes(
+      R"({"version":7,"routes":[{"name":"r1","host":"d1","service":"g",)"
+      R"("route-type":"primary","timeout-ms":1e300,"priority":4294967296}],)"
+      R"("services":[{"name":"g","max-conns":4294967296}]})");
+  REQUIRE(table.has_value());
+  CHECK(table->Find("d1")->statement_timeout ==
+        plantaintiller::core::route().statement_timeout);
+  CHECK(table->Find("d1")->priority == plantaintiller::core::route().priority);
+  CHECK(table->groups.at("g").max_connections ==
+        plantaintiller::core::group_settings().max_connections);
+}
+
 TEST_CASE("directory codec: the configuration") {
   const directory_json_codec codec;
   const auto table = codec.DecodeRoutes(
