An unlisted replica that does not answer may go on confirming

A replica's entry lapsed because it could not reach the store; it was alive and the only one that received. The primary crashed, and the other replica was promoted without the commits since.

Cause: for a server that had left the list, a leadership proof from after that moment was enough: later commits were taken to be confirmed by others.

Evidence: the new test, in which "c" is not listed, not reachable and alive; on the code before, "b" was ordered.

Fix: only a server that left as planned, or that restarted, confirms nothing more. For another one the change waits for its answer or for the leader's, up to the time in which a crashed leader returns.

--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -348,6 +348,14 @@
       return true;
     }
   }
+  // An entry also lapses if the server only fails to reach the store. It then
+  // goes on confirming commits, so that a proof says nothing of later ones.
+  const bool may_go_on = group_.Find(missing) == nullptr &&
+                         !group_.RemovedServers().at(missing).entry.draining;
+  if (may_go_on &&
+      host_.Now() - blocked_since_ <= settings_.crashed_leader_wait) {
+    return false;
+  }
   const std::optional<core::log_position> proved =
       group_.Proofs().MinPositionSince(*removed_since);
   return proved.has_value() && *proved <= candidate;
@@ -393,7 +401,10 @@
   }
   for (const auto& [id, removed] : group_.RemovedServers()) {
     // A restarted replica has lost commits that it alone may have confirmed.
-    if (unknown(id, false)) {
+    // One that is not listed and answers still has its log.
+    const bool answers_unlisted =
+        group_.Find(id) == nullptr && StatusOf(id) != nullptr;
+    if (unknown(id, answers_unlisted)) {
       return true;
     }
   }
--- a/tests/replication/change_fixture.h
+++ b/tests/replication/change_fixture.h
@@ -44,6 +44,9 @@
   void List() {
     std::vector<server_entry> listed;
     for (const auto& [id, status] : servers) {
+      if (unlisted.contains(id)) {
+        continue;
+      }
       server_entry entry;
       entry.id = id;
       entry.group = group.Name();
@@ -167,6 +170,7 @@
   std::map<std::string, sessions::server_status> servers;
   std::set<std::string> draining;
   std::set<std::string> unreachable;
+  std::set<std::string> unlisted;
   group_claim row;
   store::row_version newest_version = 0;
   std::vector<group_claim> written;
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -244,4 +244,35 @@
   CHECK(world.servers["d"].held_term > 0);
 }
 
+// A replica whose entry lapsed, but which was alive and went on confirming
+// commits, was taken for one that confirms nothing (LOST, review case 2).
+TEST_CASE("primary_change: an unlisted replica may have the latest commits") {
+  unfenced_fixture world;
+  world.unreachable = {"a", "c"};
+  world.unlisted.insert("c");
+  world.List();
+  // A leadership proof from after the entry lapsed; later commits are confirmed
+  // by "c" alone.
+  world.now += milliseconds(100);
+  world.group.Proofs().OnProof(world.now, {1, 10});
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(5000));
+  CHECK(world.orders.empty());
+}
+
+TEST_CASE("primary_change: a replica that left as planned confirms nothing") {
+  unfenced_fixture world;
+  world.draining.insert("c");
+  world.List();
+  world.unreachable = {"a", "c"};
+  world.unlisted.insert("c");
+  world.List();
+  world.now += milliseconds(100);
+  world.group.Proofs().OnProof(world.now, {1, 10});
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(5000));
+  REQUIRE(!world.orders.empty());
+  CHECK(world.orders[0].server == "b");
+}
+
 }  // namespace plantaintiller::replication
