The store names the servers that may have confirmed commits

Instances that started while a replica was not listed took the servers of the list for all that can have confirmed commits, and promoted another one.

Cause: which servers had left the list was known to running processes only.

Fix: two instances of a small deployment, and those that read the store in a large one, keep a row beside the group's claim with its servers, and for 30 s those that have left unplanned. A change reads it with the claim, in the same call, asks and holds these servers as those it has seen leave, and waits for them as long. One read and one write for each change of a group's servers.

--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -33,6 +33,7 @@
 #include "plantaintiller/gateway/leader_controller.h"
 #include "plantaintiller/gateway/leadership_checks.h"
 #include "plantaintiller/gateway/limit_exchange.h"
+#include "plantaintiller/gateway/member_recorder.h"
 #include "plantaintiller/gateway/peer_exchange.h"
 #include "plantaintiller/gateway/server_list_history.h"
 #include "plantaintiller/gateway/statement_metrics.h"
@@ -113,6 +114,7 @@
                            {dependencies.servers, dependencies.status,
                             dependencies.rows, dependencies.promotions, log_},
                            *this),
+        members_(dependencies.rows, log_),
         leadership_checks_(context,
                            dependencies.servers,
                            dependencies.status,
@@ -273,6 +275,8 @@
   }
   group_entry& EnsureGroup(const std::string& name);
   std::map<std::string, replication::distance> Distances() const;
+  /// Whether this instance records the members of a group in the store.
+  bool RecordsMembersOf(const std::string& group) const;
   void ApplyServers(store::row_version version);
   void AdoptRoutes(const std::string& text,
                    core::route_table routes,
@@ -361,6 +365,7 @@
   forwarding::session_forwarder forwarder_;
   forwarding::remote_session_service remote_sessions_;
   leader_controller leader_controller_;
+  member_recorder members_;
   leadership_checks leadership_checks_;
   std::unique_ptr<http::server> operators_;
   std::unique_ptr<http::server> metrics_server_;
--- a/plantaintiller/gateway/gateway_state.cpp
+++ b/plantaintiller/gateway/gateway_state.cpp
@@ -2,6 +2,9 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
+#include "plantaintiller/forwarding/owner_selection.h"
 #include "plantaintiller/gateway/gateway_implementation.h"
 
 namespace plantaintiller::gateway {
@@ -11,6 +14,9 @@
 /// Minimum interval between computations of the shares of connections because
 /// members were found or lost, which come in numbers.
 constexpr core::milliseconds kLimitsInterval{500};
+/// Instances that record the members of a group, so that one of them reaches
+/// the store when the other does not.
+constexpr std::size_t kMemberRecorders = 2;
 
 }  // namespace
 
@@ -202,6 +208,29 @@
                                      routes_.requires_account);
 }
 
+bool gateway::implementation::RecordsMembersOf(const std::string& group) const {
+  const std::vector<relay_candidate> live = exchange_.LiveInstances();
+  if (!exchange_.IsStoreReader()) {
+    return false;
+  }
+  if (live.size() >= settings_.small_deployment) {
+    // Few instances read the store there.
+    return true;
+  }
+  std::vector<forwarding::owner_candidate> candidates;
+  candidates.push_back({settings_.instance, settings_.peers.host, 1.0});
+  for (const relay_candidate& each : live) {
+    candidates.push_back({each.name, each.host, 1.0});
+  }
+  const auto ranked =
+      forwarding::owner_selection::Rank(group, std::move(candidates));
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                        kMemberRecorders, ranked.size()));
+  return std::any_of(ranked.begin(), end, [this](const auto& each) {
+    return each.instance == settings_.instance;
+  });
+}
+
 void gateway::implementation::ApplyServers(store::row_version version) {
   const auto distances = Distances();
   std::map<std::string, std::vector<replication::server_entry>> by_group;
@@ -221,6 +250,8 @@
           .With("store_version", static_cast<std::int64_t>(version));
     }
     group->pool.OnGroupChanged();
+    members_.OnList(name, by_group[name], RecordsMembersOf(name),
+                    store::EraOf(version), now);
     leader_controller_.Evaluate(name);
   }
   UpdateConnectionLimits();
--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "plantaintiller/gateway/claim_codec.h"
+#include "plantaintiller/gateway/member_codec.h"
 #include "plantaintiller/gateway/send_server_command.h"
 
 namespace plantaintiller::gateway {
@@ -151,6 +152,8 @@
   }
 
  private:
+  /// Called with the recorded members of a group when its claim is read.
+  void OnMembers(const std::string& group, const std::string& row);
   /// Demotes servers that are listed as leader although another one leads a
   /// later term.
   void DemoteFormerLeaders(monitored_group& each);
@@ -287,7 +290,8 @@
                        core::milliseconds)> done) {
   dependencies_.rows.Read(
       kClaimTable, group, kClaimKey,
-      [done = std::move(done)](const store::rows_answer& answer) {
+      [self = shared_from_this(), group,
+       done = std::move(done)](const store::rows_answer& answer) {
         if (answer.status != store::call_status::kDone) {
           done(std::nullopt, core::milliseconds(0));
           return;
@@ -295,6 +299,9 @@
         replication::group_claim claim;
         claim.era = store::EraOf(answer.newest_version);
         for (const store::row& each : answer.rows) {
+          if (each.key == kMembersKey) {
+            self->OnMembers(group, each.value);
+          }
           if (each.key != kClaimKey) {
             continue;
           }
@@ -308,6 +315,20 @@
       });
 }
 
+void leader_controller::implementation::OnMembers(const std::string& group,
+                                                  const std::string& row) {
+  monitored_group* each = Find(group);
+  const auto members = DecodeMembers(group, row);
+  if (each == nullptr || !members.has_value()) {
+    log_line(dependencies_.log, "groups", "members_unreadable")
+        .With("group", group);
+    return;
+  }
+  for (const replication::server_entry& member : *members) {
+    each->group.OnRecordedMember(member, core::clock::now());
+  }
+}
+
 void leader_controller::implementation::WriteClaim(
     const std::string& group,
     const replication::group_claim& claim,
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -158,6 +158,19 @@
   }
 }
 
+void group_state::OnRecordedMember(const server_entry& entry,
+                                   core::time_point now) {
+  if (servers_.contains(entry.id)) {
+    recorded_since_.erase(entry.id);
+    return;
+  }
+  const core::time_point since =
+      recorded_since_.try_emplace(entry.id, now).first->second;
+  if (now - since <= kRemovedRetention) {
+    removed_.try_emplace(entry.id, removed_server{entry, since});
+  }
+}
+
 void group_state::SetLeader(const std::string& server, core::time_point now) {
   if (server != leader_) {
     confirmed_term_ = 0;
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -68,6 +68,10 @@
     int unanswered_writes = 0;
   };
 
+  /// How long a removed server is remembered. A replica that can be reached at
+  /// all is never further behind than this.
+  static constexpr core::milliseconds kRemovedRetention{30000};
+
   /// @param draining_grace_period how long a server still gets work after it
   /// was first seen draining or missing from the list.
   explicit group_state(
@@ -107,6 +111,10 @@
               const std::map<std::string, distance>& zones,
               core::time_point now);
 
+  /// Called with a server that the store names as a member of the group. If it
+  /// is not listed, it is treated as one that has just been removed.
+  void OnRecordedMember(const server_entry& entry, core::time_point now);
+
   /// Called when a server answered as leader. The answer proves nothing about
   /// later times.
   void OnLeaderSeen(const std::string& server,
@@ -210,10 +218,6 @@
   /// the list: the list is read once a second and may be a heartbeat late.
   static constexpr core::milliseconds kSeenLeaderPrecedence{3000};
 
-  /// How long a removed server is remembered. A replica that can be reached at
-  /// all is never further behind than this.
-  static constexpr core::milliseconds kRemovedRetention{30000};
-
   /// Default for tests, equal to the setting on both users' sites.
   static constexpr core::milliseconds kDrainingGracePeriod{5000};
 
@@ -237,6 +241,9 @@
   core::milliseconds draining_grace_period_;
   std::map<std::string, server> servers_;
   std::map<std::string, removed_server> removed_;
+  /// Unlisted servers that the store names, with the time at which this
+  /// instance first learned of each.
+  std::map<std::string, core::time_point> recorded_since_;
   std::string last_leader_;
   core::time_point leaderless_since_;
   std::string leader_;
--- /dev/null
+++ b/plantaintiller/replication/member_history.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "plantaintiller/core/time.h"
+#include "plantaintiller/replication/group_state.h"
+
+namespace plantaintiller::replication {
+
+/// The servers of one group that may have confirmed commits: those of the list,
+/// and for a while those that have left it without having been about to stop.
+/// They may go on confirming, or come back with commits that no other replica
+/// has.
+class member_history {
+ public:
+  /// @param listed the present list; servers of other groups are ignored.
+  void OnList(const std::string& group,
+              const std::vector<server_entry>& listed,
+              core::time_point now);
+  /// Adds servers that another instance has recorded and this one does not
+  /// know.
+  void OnRecorded(const std::vector<server_entry>& recorded,
+                  core::time_point now);
+  /// @return the members in the order of their ids.
+  std::vector<server_entry> Members() const;
+
+ private:
+  struct member {
+    server_entry entry;
+    std::optional<core::time_point> unlisted_since;
+  };
+  void Forget(core::time_point now);
+
+  std::map<std::string, member> members_;
+};
+
+}  // namespace plantaintiller::replication
