A leader is announced only with a term in which it was seen to lead

Cause: after a refusal an instance took the server that the list still named for the leader, and announced it with the newest term of any server. Instances that had not heard of that term took the pair as seen, and read from a former leader.

Fix: leader and term are one value, which exists only if that server was seen to lead in that term. Other uses of the newest term were looked through: they compare, log, or derive the term of a hold.

--- a/plantaintiller/gateway/gateway_peers.cpp
+++ b/plantaintiller/gateway/gateway_peers.cpp
@@ -42,8 +42,14 @@
   announced.resize(std::min(announced.size(), kMaxAnnouncedLeaders));
   for (const auto& [changed_at, name] : announced) {
     const replication::group_state& group = groups_.at(*name)->state;
-    view.leaders.push_back({*name, group.Leader(), group.LeaderTerm(),
-                            leader_controller_.IsChanging(*name)});
+    const bool is_changing = leader_controller_.IsChanging(*name);
+    // A leader is announced only with a term in which it was seen to lead.
+    const auto seen = group.SeenLeader();
+    if (seen.has_value() || is_changing) {
+      const auto leader =
+          seen.value_or(replication::group_state::seen_leader{});
+      view.leaders.push_back({*name, leader.server, leader.term, is_changing});
+    }
   }
   return view;
 }
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -148,6 +148,18 @@
   /// @return the newest term in which `Leader` was seen to lead; 0 if only the
   /// list names it as leader.
   core::term_number ConfirmedLeaderTerm() const { return confirmed_term_; }
+  /// A server with a term in which it was seen to lead.
+  struct seen_leader {
+    std::string server;
+    core::term_number term = 0;
+  };
+  /// @return the presumed leader with the term in which it was seen to lead;
+  /// nothing if only the list names it.
+  std::optional<seen_leader> SeenLeader() const {
+    return leader_.empty() || confirmed_term_ == 0
+               ? std::nullopt
+               : std::optional(seen_leader{leader_, confirmed_term_});
+  }
   /// @return the newest term in which any server of the group was seen to lead.
   core::term_number LeaderTerm() const { return leader_term_; }
   /// @return the last known leader, listed or not.
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -188,4 +188,20 @@
   CHECK(limit.Limit() >= 4);
 }
 
+// A former leader was announced to other instances with the newest term of any
+// server, and they read from it (STALE, review case 4).
+TEST_CASE("group_state: a leader that only the list names has no term") {
+  group_fixture fixture;
+  CHECK(!fixture.group.SeenLeader().has_value());
+  fixture.group.OnLeaderSeen("b", 2, fixture.now);
+  REQUIRE(fixture.group.SeenLeader().has_value());
+  CHECK(fixture.group.SeenLeader()->server == "b");
+  CHECK(fixture.group.SeenLeader()->term == 2);
+  // The list still names "a".
+  fixture.group.OnNotLeader("b", fixture.now);
+  CHECK(fixture.group.Leader() == "a");
+  CHECK(fixture.group.LeaderTerm() == 2);
+  CHECK(!fixture.group.SeenLeader().has_value());
+}
+
 }  // namespace plantaintiller::replication
