A connection whose session values are unknown is closed

Values of one client stayed on a connection that others used.

Cause: set-up that was refused, because the database had lost the lead, emptied the record of the connection's values, but the connection went back to the pool. Set-up whose answer nobody waited for, as the session had ended, was recorded as done.

Fix: the record says whether it is known. The connection itself looks at that when it is released, however it is released, and closes.

--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -217,7 +217,7 @@
   if (closed_) {
     return;
   }
-  if (kind == sessions::release_kind::kBroken) {
+  if (kind == sessions::release_kind::kBroken || !session_state_.is_known) {
     End(link_close_reason::kLost);
     return;
   }
--- a/plantaintiller/sessions/server_connection.h
+++ b/plantaintiller/sessions/server_connection.h
@@ -20,6 +20,9 @@
   std::map<std::string, std::string> values;
   /// Names of the prepared statements, as used by the server.
   std::set<std::string> prepared;
+  /// Whether the above is what the server has. A connection for which it is not
+  /// must be closed, whatever it is released with.
+  bool is_known = true;
 };
 
 /// Receives the answers to commands sent on a connection.
--- a/plantaintiller/sessions/session_replies.cpp
+++ b/plantaintiller/sessions/session_replies.cpp
@@ -46,10 +46,9 @@
   switch (role) {
     case reply_role::kSetUp:
       if (!reply.succeeded) {
-        // The session state of the connection is unknown from here on.
         begin_failed_ = true;
         begin_failure_ = failure_code::kNoStatement;
-        connection_->State() = {};
+        connection_->State().is_known = false;
       }
       break;
     case reply_role::kBegin:
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -298,6 +298,11 @@
   }
   server_connection* connection = connection_;
   connection_ = nullptr;
+  if (std::find(outstanding_.begin(), outstanding_.end(), reply_role::kSetUp) !=
+      outstanding_.end()) {
+    // Nobody sees whether the set-up succeeds.
+    connection->State().is_known = false;
+  }
   outstanding_.clear();
   if (phase_ == phase::kAwaitingPermit) {
     host_.CancelPermit(*connection);
--- /dev/null
+++ b/tests/platform/session_state_test.cpp
@@ -0,0 +1,60 @@
+// What a pooled connection keeps of a session, and the end of a session at a
+// planned stop.
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "plantaintiller/sessions/session_engine.h"
+#include "tests/platform/session_fixture.h"
+
+namespace plantaintiller::sessions {
+
+namespace {
+
+/// A session with a value and an open transaction at "a", of which one
+/// statement has been answered.
+struct transaction_session : session_fixture {
+  transaction_session() : session_fixture("primary") {
+    SendLine("QUERY 1 BEGIN");
+    host.TakeReplies();
+    SendLine("QUERY 2 READ 1a4");
+    GrantConnection("a");
+    AnswerLines({"COMPLETE -", "READY T 1.10"});
+    ConfirmLeader();
+    AnswerLines({"DATAROW x", "COMPLETE 1.2.3", "READY T 1.10"});
+  }
+  fake_connection& Connection() { return *connections.back(); }
+};
+
+}  // namespace
+
+// Set-up that was refused because the database had lost the lead emptied the
+// record of the connection's values, and other clients used the connection with
+// these values (PINNED, review case 3).
+TEST_CASE("session state: a connection with refused set-up is not used again") {
+  session_fixture session("primary");
+  session.SendLine("QUERY 1 SET x 5");
+  session.host.TakeReplies();
+  session.SendLine("QUERY 2 BEGIN");
+  session.host.TakeReplies();
+  session.SendLine("QUERY 3 READ 1a4");
+  fake_connection& connection = session.GrantConnection("a");
+  CHECK(connection.TakeSent().find("SET x 5") != std::string::npos);
+  session.AnswerLines(
+      {"ERROR READONLY a", "READY I 1.10", "COMPLETE -", "READY T 1.10"});
+  REQUIRE(connection.released.has_value());
+  CHECK(!connection.State().is_known);
+}
+
+TEST_CASE("session state: set-up without an answer leaves it unknown") {
+  session_fixture session("primary");
+  session.SendLine("QUERY 1 SET x 5");
+  session.host.TakeReplies();
+  session.SendLine("QUERY 2 READ 1a4");
+  fake_connection& connection = session.GrantConnection("a");
+  session.engine.OnCallerDisconnected();
+  REQUIRE(connection.released.has_value());
+  CHECK(!connection.State().is_known);
+}
+
+}  // namespace plantaintiller::sessions
