A planned stop ends transactions that wait for an answer

Cause: open transactions are ended at half of the grace period, once. One that waited for an answer just then was left out, went on, and was cut off in the middle of a statement when the process ended.

Fix: such a transaction is ended when its answer has been passed on; its next statement is refused as aborted.

--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -80,7 +80,7 @@
   void OnConnectionLost() override;
   void OnLeadershipChecked(replication::leadership_result result) override;
   /// Ends an open transaction, for instance at shutdown; its next statement is
-  /// refused.
+  /// refused. A statement that is in progress is answered first.
   /// @param reason part of that refusal; a string of static storage.
   void AbandonTransaction(const char* reason);
 
@@ -278,6 +278,9 @@
   /// Whether a leadership check was requested for the current attempt.
   /// Whether the caller's connection is closed once the session is idle.
   bool sends_caller_elsewhere_ = false;
+  /// Why the transaction is to be ended with the request in progress; null if
+  /// it is not.
+  const char* abandon_reason_ = nullptr;
   bool check_requested_ = false;
   /// Its result; nothing while there is none.
   std::optional<replication::leadership_result> check_result_;
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -201,7 +201,11 @@
 }
 
 void session_engine::AbandonTransaction(const char* reason) {
-  if (!HasTransaction() || phase_ != phase::kIdle) {
+  if (!HasTransaction()) {
+    return;
+  }
+  if (phase_ != phase::kIdle) {
+    abandon_reason_ = reason;
     return;
   }
   ReleaseConnection(release_kind::kRollBack);
@@ -287,6 +291,9 @@
   } else {
     host_.ClearTimer();
   }
+  if (abandon_reason_ != nullptr) {
+    AbandonTransaction(std::exchange(abandon_reason_, nullptr));
+  }
 }
 
 void session_engine::ReleaseConnection(release_kind kind) {
--- a/tests/platform/session_state_test.cpp
+++ b/tests/platform/session_state_test.cpp
@@ -57,4 +57,29 @@
   CHECK(!connection.State().is_known);
 }
 
+// A transaction that waited for an answer at half of the grace period went on,
+// and the process ended in the middle of one of its statements (LOST, review
+// case 5).
+TEST_CASE("session stop: a transaction that waits for an answer ends with it") {
+  transaction_session session;
+  session.host.TakeReplies();
+  session.SendLine("QUERY 4 READ 1a5");
+  session.engine.AbandonTransaction("shutdown");
+  session.AnswerLines({"DATAROW y", "COMPLETE 1.2.4", "READY T 1.10"});
+  CHECK(session.host.TakeReplies().find("COMPLETE 1.2.4") != std::string::npos);
+  CHECK(session.Connection().released == release_kind::kRollBack);
+  session.SendLine("QUERY 5 READ 1a6");
+  CHECK(session.host.TakeReplies().starts_with("ERROR ABORTED shutdown"));
+}
+
+TEST_CASE("session stop: a commit that waits for its answer gets it") {
+  transaction_session session;
+  session.host.TakeReplies();
+  session.SendLine("QUERY 4 COMMIT");
+  session.engine.AbandonTransaction("shutdown");
+  session.AnswerLines({"COMPLETE 1.2.4", "READY I 1.10"});
+  CHECK(session.host.TakeReplies().find("COMPLETE 1.2.4") != std::string::npos);
+  CHECK(!session.engine.InTransaction());
+}
+
 }  // namespace plantaintiller::sessions
