--- a/tests/platform/directory_json_codec_test.cpp
+++ b/tests/platform/directory_json_codec_test.cpp
@@ -109,11 +109,13 @@
   const directory_json_codec codec;
   const auto table = codec.DecodeRoutes(
       R"({"version":7,"routes":[{"name":"r1","host":"d1","service":"g",)"
-      R"("route-type":"primary","timeout-ms":1e300,"priority":4294967296}],)"
+      R"("route-type":"primary","timeout-ms":1e300,"target-latency-ms":9000000000000,"priority":4294967296}],)"
       R"("services":[{"name":"g","max-conns":4294967296}]})");
   REQUIRE(table.has_value());
   CHECK(table->Find("d1")->statement_timeout ==
         plantaintiller::core::route().statement_timeout);
+  CHECK(table->Find("d1")->latency_objective ==
+        plantaintiller::core::route().latency_objective);
   CHECK(table->Find("d1")->priority == plantaintiller::core::route().priority);
   CHECK(table->groups.at("g").max_connections ==
         plantaintiller::core::group_settings().max_connections);
