A planned stop refuses statements that were not sent

It is refused as aborted at once, which is true, as it has not run. The new test failed before. With it: set-up that resets a connection does not make an unknown record known.

--- a/plantaintiller/sessions/session_attempts.cpp
+++ b/plantaintiller/sessions/session_attempts.cpp
@@ -107,7 +107,8 @@
       [this](const auto& each) { return !values_.contains(each.first); });
   if (has_foreign_values) {
     codec.AppendReset(out);
-    state = {};
+    state.values.clear();
+    state.prepared.clear();
     commands += 1;
   }
   for (const auto& [name, value] : values_) {
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -204,6 +204,16 @@
   if (!HasTransaction()) {
     return;
   }
+  const bool is_unsent = phase_ == phase::kAcquiring ||
+                         phase_ == phase::kAwaitingRetry ||
+                         phase_ == phase::kAwaitingPermit;
+  if (is_unsent) {
+    if (phase_ == phase::kAcquiring) {
+      host_.CancelAcquire();
+    }
+    FailTransaction(reason);
+    return;
+  }
   if (phase_ != phase::kIdle) {
     abandon_reason_ = reason;
     return;
--- a/tests/platform/session_state_test.cpp
+++ b/tests/platform/session_state_test.cpp
@@ -2,8 +2,6 @@
 // planned stop.
 #include <doctest/doctest.h>
 
-#include <random>
-
 #include "plantaintiller/sessions/session_engine.h"
 #include "tests/platform/session_fixture.h"
 
@@ -82,4 +80,18 @@
   CHECK(!session.engine.InTransaction());
 }
 
+// A statement that waited for a connection was sent shortly before the process
+// ended, or never answered.
+TEST_CASE("session stop: a statement that was not sent is refused at once") {
+  session_fixture session("primary");
+  session.SendLine("QUERY 1 BEGIN");
+  session.host.TakeReplies();
+  session.SendLine("QUERY 2 READ 1a4");
+  REQUIRE(session.host.need.has_value());
+  session.engine.AbandonTransaction("shutdown");
+  CHECK(!session.host.need.has_value());
+  CHECK(session.host.TakeReplies().starts_with("ERROR ABORTED shutdown"));
+  CHECK(session.engine.IsIdle());
+}
+
 }  // namespace plantaintiller::sessions
