A connection whose roll-back was refused is closed

Found by review: any answer to the roll-back made the connection idle, also one that leaves a failed transaction open; the next session would have got MALFORMED on it. By reading, no test.

--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -183,6 +183,11 @@
   if (cleaning_ && outstanding_ == 0) {
     cleaning_ = false;
     timer_.cancel();
+    if (reply.state != sessions::session_state::kIdle) {
+      // The roll-back was refused; a transaction may still be open.
+      End(link_close_reason::kLost);
+      return;
+    }
     BecomeIdle();
   }
 }
