--- a/plantaintiller/gateway/gateway_peers.cpp
+++ b/plantaintiller/gateway/gateway_peers.cpp
@@ -30,7 +30,8 @@
     const auto changed_at = leader_changed_at_.find(name);
     if (leader_controller_.IsChanging(name)) {
       announced.emplace_back(now, &name);
-    } else if (changed_at != leader_changed_at_.end() &&
+    } else if (group->state.SeenLeader().has_value() &&
+               changed_at != leader_changed_at_.end() &&
                now - changed_at->second < kLeaderAnnounceTime) {
       announced.emplace_back(changed_at->second, &name);
     }
@@ -42,14 +43,11 @@
   announced.resize(std::min(announced.size(), kMaxAnnouncedLeaders));
   for (const auto& [changed_at, name] : announced) {
     const replication::group_state& group = groups_.at(*name)->state;
-    const bool is_changing = leader_controller_.IsChanging(*name);
     // A leader is announced only with a term in which it was seen to lead.
-    const auto seen = group.SeenLeader();
-    if (seen.has_value() || is_changing) {
-      const auto leader =
-          seen.value_or(replication::group_state::seen_leader{});
-      view.leaders.push_back({*name, leader.server, leader.term, is_changing});
-    }
+    const auto leader =
+        group.SeenLeader().value_or(replication::group_state::seen_leader{});
+    view.leaders.push_back({*name, leader.server, leader.term,
+                            leader_controller_.IsChanging(*name)});
   }
   return view;
 }
