Recorded members are forgotten in time, and restarts are recorded

Found by review of the row with a group's members. A member that had left was taken from the row again each time it was forgotten, so that a primary crash hours later would have waited 30 s for it. And a replica that had restarted empty under its id counted as the one that is listed, so that instances which started later did not know that it had lost commits. Both new tests failed before. With it: a row that a restored store has lost during a write is written again.

--- a/plantaintiller/gateway/member_recorder.cpp
+++ b/plantaintiller/gateway/member_recorder.cpp
@@ -25,9 +25,9 @@
     const bool is_current =
         group.recorded == EncodeMembers(group.history.Members()) &&
         group.era == era;
-    group.era = era;
     if (records && !group.busy && !is_current) {
       group.busy = true;
+      group.era = era;
       Read(name);
     }
   }
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -160,12 +160,13 @@
 
 void group_state::OnRecordedMember(const server_entry& entry,
                                    core::time_point now) {
-  if (servers_.contains(entry.id)) {
-    recorded_since_.erase(entry.id);
+  const auto listed = servers_.find(entry.id);
+  if (listed != servers_.end() &&
+      listed->second.entry.born_ms == entry.born_ms) {
     return;
   }
   const core::time_point since =
-      recorded_since_.try_emplace(entry.id, now).first->second;
+      recorded_since_.try_emplace({entry.id, entry.born_ms}, now).first->second;
   if (now - since <= kRemovedRetention) {
     removed_.try_emplace(entry.id, removed_server{entry, since});
   }
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -112,7 +112,8 @@
               core::time_point now);
 
   /// Called with a server that the store names as a member of the group. If it
-  /// is not listed, it is treated as one that has just been removed.
+  /// is not listed, or listed after a restart, it is treated as one that has
+  /// just been removed.
   void OnRecordedMember(const server_entry& entry, core::time_point now);
 
   /// Called when a server answered as leader. The answer proves nothing about
@@ -255,7 +256,8 @@
   std::map<std::string, removed_server> removed_;
   /// Unlisted servers that the store names, with the time at which this
   /// instance first learned of each.
-  std::map<std::string, core::time_point> recorded_since_;
+  std::map<std::pair<std::string, std::int64_t>, core::time_point>
+      recorded_since_;
   std::string last_leader_;
   core::time_point leaderless_since_;
   std::string leader_;
--- a/plantaintiller/replication/member_history.cpp
+++ b/plantaintiller/replication/member_history.cpp
@@ -7,15 +7,17 @@
 void member_history::OnList(const std::string& group,
                             const std::vector<server_entry>& listed,
                             core::time_point now) {
-  std::set<std::string> present;
+  std::set<lifetime> present;
   for (const server_entry& each : listed) {
     if (each.group == group) {
-      present.insert(each.id);
-      members_[each.id] = {each, std::nullopt};
+      const lifetime key(each.id, each.born_ms);
+      present.insert(key);
+      forgotten_.erase(key);
+      members_[key] = {each, std::nullopt};
     }
   }
-  for (auto& [id, each] : members_) {
-    if (!present.contains(id) && !each.unlisted_since.has_value()) {
+  for (auto& [key, each] : members_) {
+    if (!present.contains(key) && !each.unlisted_since.has_value()) {
       each.unlisted_since = now;
     }
   }
@@ -25,23 +27,31 @@
 void member_history::OnRecorded(const std::vector<server_entry>& recorded,
                                 core::time_point now) {
   for (const server_entry& each : recorded) {
-    members_.try_emplace(each.id, member{each, now});
+    const lifetime key(each.id, each.born_ms);
+    if (!forgotten_.contains(key)) {
+      members_.try_emplace(key, member{each, now});
+    }
   }
   Forget(now);
 }
 
 void member_history::Forget(core::time_point now) {
-  std::erase_if(members_, [now](const auto& each) {
+  std::erase_if(members_, [this, now](const auto& each) {
     const member& left = each.second;
-    return left.unlisted_since.has_value() &&
-           (left.entry.draining ||
-            now - *left.unlisted_since > group_state::kRemovedRetention);
+    const bool is_over =
+        left.unlisted_since.has_value() &&
+        (left.entry.draining ||
+         now - *left.unlisted_since > group_state::kRemovedRetention);
+    if (is_over) {
+      forgotten_.insert(each.first);
+    }
+    return is_over;
   });
 }
 
 std::vector<server_entry> member_history::Members() const {
   std::vector<server_entry> all;
-  for (const auto& [id, each] : members_) {
+  for (const auto& [key, each] : members_) {
     all.push_back(each.entry);
   }
   return all;
--- a/plantaintiller/replication/member_history.h
+++ b/plantaintiller/replication/member_history.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "plantaintiller/core/time.h"
@@ -34,7 +37,12 @@
   };
   void Forget(core::time_point now);
 
-  std::map<std::string, member> members_;
+  /// A server that restarted empty under its id is another member.
+  using lifetime = std::pair<std::string, std::int64_t>;
+
+  std::map<lifetime, member> members_;
+  /// Members that this instance has forgotten and another one may still record.
+  std::set<lifetime> forgotten_;
 };
 
 }  // namespace plantaintiller::replication
--- a/tests/replication/member_history_test.cpp
+++ b/tests/replication/member_history_test.cpp
@@ -52,4 +52,29 @@
   CHECK(Ids(history) == std::vector<std::string>{"a", "b"});
 }
 
+// The row of an earlier time brought back what this instance had forgotten, so
+// that a server that had left stayed a member for good.
+TEST_CASE(
+    "member_history: a forgotten server is not taken from the row again") {
+  member_history history;
+  history.OnList("g", {Server("a"), Server("b")}, kStart);
+  history.OnList("g", {Server("a")}, kStart + milliseconds(1000));
+  const core::time_point later =
+      kStart + milliseconds(1001) + group_state::kRemovedRetention;
+  history.OnList("g", {Server("a")}, later);
+  history.OnRecorded({Server("a"), Server("b")}, later);
+  CHECK(Ids(history) == std::vector<std::string>{"a"});
+}
+
+// A replica that restarted empty under its id had confirmed commits before; an
+// instance that started later did not know.
+TEST_CASE("member_history: a server that restarted is another member") {
+  member_history history;
+  history.OnList("g", {Server("a"), Server("b")}, kStart);
+  server_entry reborn = Server("b");
+  reborn.born_ms = 7;
+  history.OnList("g", {Server("a"), reborn}, kStart + milliseconds(1000));
+  CHECK(Ids(history) == std::vector<std::string>{"a", "b", "b"});
+}
+
 }  // namespace plantaintiller::replication
