--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -46,6 +46,10 @@
         run = run_soak("--seeds", "1:2", "--seconds", "8", "--contracts", "pressure")
         self.assertEqual(run.returncode, 0, run.stdout + run.stderr)
 
+    def test_promises_hold_if_the_platform_checks_no_tokens(self):
+        run = run_soak("--seeds", "1:2", "--seconds", "8", "--unfenced")
+        self.assertEqual(run.returncode, 0, run.stdout + run.stderr)
+
     def test_servers_that_ignore_positions_are_found(self):
         run = run_soak("--seeds", "1:1", "--seconds", "8", "--planted", "positions")
         self.assertEqual(run.returncode, 1, run.stdout + run.stderr)
