--- a/plantaintiller/gateway/member_recorder.cpp
+++ b/plantaintiller/gateway/member_recorder.cpp
@@ -76,10 +76,10 @@
       group.busy = false;
       return;
     }
-    Write(name, std::move(row));
+    Write(name, row);
   }
 
-  void Write(const std::string& name, store::row row) {
+  void Write(const std::string& name, const store::row& row) {
     store::row_transaction change;
     change.expected.push_back(row);
     change.writes.push_back(row);
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -232,11 +232,11 @@
 }
 
 std::string primary_change::BestCandidate() const {
-  const std::string staying = LongestLog(false);
+  std::string staying = LongestLog(false);
   if (leader_answered_) {
     return staying;
   }
-  const std::string any = LongestLog(true);
+  std::string any = LongestLog(true);
   const bool draining_has_more =
       !any.empty() && (staying.empty() ||
                        StatusOf(any)->received > StatusOf(staying)->received);
