--- a/tests/processes/test_accounts.py
+++ b/tests/processes/test_accounts.py
@@ -46,10 +46,7 @@
         self.folder = pathlib.Path(folder.name)
         # An even seed: sessions are forwarded.
         self.world = World(2, 2, self.folder)
-        await self.world.platform.start()
-        await self.world.group.start()
-        for proxy in self.world.proxies:
-            await proxy.start()
+        await self.world.start_standins()
         self.publish(1, ["key-old-1", "key-new-2"])
         self.tasks = [asyncio.create_task(each) for each in (
             self.world.group.replicate(), self.world.platform.report_servers())]
--- a/tests/soak/directed_world.py
+++ b/tests/soak/directed_world.py
@@ -1,6 +1,7 @@
 """A small deployment of real instances for tests that choose each fault."""
 
 import asyncio
+import itertools
 import pathlib
 import tempfile
 import time
@@ -11,18 +12,20 @@
 class DirectedWorld(soak.World):
     """Three instances, one group and callers, with faults that a test chooses."""
 
+    # Each world of a process has ports of its own: those of an earlier one may
+    # still be in use.
+    seeds = itertools.count(101, 2)
+
     def __init__(self, folder, fencing=True):
         soak.Instance.fencing = fencing
-        super().__init__(1, 3, folder)
+        super().__init__(next(self.seeds), 3, folder)
         soak.Instance.fencing = True
+        self.tasks = []
 
     async def start_all(self):
-        await self.platform.start()
-        await self.group.start()
-        for proxy in self.proxies + self.platform_proxies():
-            await proxy.start()
+        await self.start_standins()
         self.publish()
-        self.tasks = [asyncio.create_task(each) for each in (
+        self.tasks += [asyncio.create_task(each) for each in (
             self.group.replicate(), self.platform.report_servers())]
         for each in self.instances:
             each.start()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -308,6 +308,13 @@
         self.version = 0
         self.faults = []
 
+    async def start_standins(self):
+        """Starts everything that the instances connect to."""
+        await self.platform.start()
+        await self.group.start()
+        for proxy in self.proxies + self.platform_proxies():
+            await proxy.start()
+
     def platform_proxies(self):
         return [proxy for each in self.instances
                 for proxy in (each.store_proxy, each.promotion_proxy)]
@@ -422,10 +429,7 @@
         # Called between two steps of the loop, never while a process is started.
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGTERM, asyncio.current_task().cancel)
-        await self.platform.start()
-        await self.group.start()
-        for proxy in self.proxies + self.platform_proxies():
-            await proxy.start()
+        await self.start_standins()
         self.publish()
         tasks = [asyncio.create_task(each) for each in (
             self.group.replicate(), self.platform.report_servers(),
