A planned stop sends nothing more to servers after half of its grace period

What callers saw: nobody has reported it.

Cause: at half of the grace period each session was told once to end its open transaction. A session without one was left alone, and one that had more input began the next transaction as before.

Fix: the session remembers it. Whatever was sent is answered, whatever would have to be sent is refused at once as not run, so that nothing is in progress at the cut-off but what a server still works on. Forwarded sessions get the same message.

--- a/plantaintiller/forwarding/forwarded_stream.cpp
+++ b/plantaintiller/forwarding/forwarded_stream.cpp
@@ -47,7 +47,7 @@
   Release();
 }
 
-void forwarded_stream::AbandonTransaction() {
+void forwarded_stream::RefuseFurtherWork() {
   SendFrame(frame_kind::kAbandonTransaction, "");
 }
 
--- a/plantaintiller/forwarding/forwarded_stream.h
+++ b/plantaintiller/forwarding/forwarded_stream.h
@@ -32,7 +32,7 @@
 
   void Send(std::string_view bytes) override;
   void Close() override;
-  void AbandonTransaction() override;
+  void RefuseFurtherWork() override;
   const std::string& Unanswered() const override { return unanswered_; }
   bool InTransaction() const override { return in_transaction_; }
 
--- a/plantaintiller/forwarding/remote_session_link.cpp
+++ b/plantaintiller/forwarding/remote_session_link.cpp
@@ -150,7 +150,7 @@
       session->OnBytes(frame.bytes);
       return;
     case frame_kind::kAbandonTransaction:
-      session->Session().AbandonTransaction("caller_instance_stops");
+      session->Session().RefuseFurtherWork("caller_instance_stops");
       return;
     default:
       RemoveSession(frame.session);
@@ -196,11 +196,11 @@
   }
 }
 
-void remote_session_link::AbandonTransactions(const char* reason) {
+void remote_session_link::RefuseFurtherWork(const char* reason) {
   const std::map<std::uint64_t, std::shared_ptr<remote_session>> all =
       sessions_;
   for (const auto& [number, session] : all) {
-    session->Session().AbandonTransaction(reason);
+    session->Session().RefuseFurtherWork(reason);
   }
 }
 
--- a/plantaintiller/forwarding/remote_session_link.h
+++ b/plantaintiller/forwarding/remote_session_link.h
@@ -39,7 +39,7 @@
   /// it.
   void CloseWhenIdle();
   /// Abandons all open transactions. @param reason passed to the sessions.
-  void AbandonTransactions(const char* reason);
+  void RefuseFurtherWork(const char* reason);
   /// Number of sessions that are open on the link.
   std::size_t Sessions() const { return sessions_.size(); }
 
--- a/plantaintiller/forwarding/remote_session_service.cpp
+++ b/plantaintiller/forwarding/remote_session_service.cpp
@@ -124,9 +124,9 @@
       [](remote_session_link& each) { each.CloseWhenIdle(); });
 }
 
-void remote_session_service::AbandonTransactions(const char* reason) {
+void remote_session_service::RefuseFurtherWork(const char* reason) {
   implementation_->ForEach([reason](remote_session_link& each) {
-    each.AbandonTransactions(reason);
+    each.RefuseFurtherWork(reason);
   });
 }
 
--- a/plantaintiller/forwarding/remote_session_service.h
+++ b/plantaintiller/forwarding/remote_session_service.h
@@ -56,7 +56,7 @@
   /// it.
   void CloseWhenIdle();
   /// Abandons all open transactions. @param reason passed to the sessions.
-  void AbandonTransactions(const char* reason);
+  void RefuseFurtherWork(const char* reason);
   /// Number of sessions that are served now.
   std::size_t Sessions() const;
   /// Stops accepting connections and closes all links.
--- a/plantaintiller/forwarding/session_forwarder.h
+++ b/plantaintiller/forwarding/session_forwarder.h
@@ -50,8 +50,8 @@
   /// Closes the session because the caller has disconnected. The listener is
   /// not called any more.
   virtual void Close() = 0;
-  /// Asks the owner to abandon an open transaction.
-  virtual void AbandonTransaction() = 0;
+  /// Asks the owner to send nothing more of this session to a server.
+  virtual void RefuseFurtherWork() = 0;
   /// Bytes of the caller that have not been answered yet.
   virtual const std::string& Unanswered() const = 0;
   /// Whether a transaction was open after the last answer.
--- a/plantaintiller/gateway/caller_connection.cpp
+++ b/plantaintiller/gateway/caller_connection.cpp
@@ -39,7 +39,7 @@
 
   // caller_connection
   void CloseWhenIdle() override;
-  void AbandonTransaction(const char* reason) override;
+  void RefuseFurtherWork(const char* reason) override;
 
   // sessions::session_channel
   void Send(const std::string& bytes) override {
@@ -262,11 +262,11 @@
   }
 }
 
-void caller_implementation::AbandonTransaction(const char* reason) {
+void caller_implementation::RefuseFurtherWork(const char* reason) {
   if (session_ != nullptr) {
-    session_->AbandonTransaction(reason);
+    session_->RefuseFurtherWork(reason);
   } else if (forwarded_ != nullptr) {
-    forwarded_->AbandonTransaction();
+    forwarded_->RefuseFurtherWork();
   }
 }
 
--- a/plantaintiller/gateway/caller_connection.h
+++ b/plantaintiller/gateway/caller_connection.h
@@ -24,10 +24,8 @@
 
   /// Closes the connection as soon as no request and no transaction is open.
   virtual void CloseWhenIdle() = 0;
-  /// Rolls back an open transaction, if no statement of it is in progress; its
-  /// next statement is refused. @param reason for that refusal; a string of
-  /// static storage.
-  virtual void AbandonTransaction(const char* reason) = 0;
+  /// As `hosted_session::RefuseFurtherWork`, wherever the session is served.
+  virtual void RefuseFurtherWork(const char* reason) = 0;
 };
 
 }  // namespace plantaintiller::gateway
--- a/plantaintiller/gateway/caller_session.h
+++ b/plantaintiller/gateway/caller_session.h
@@ -32,8 +32,8 @@
              const accounts::caller_identity& identity) override;
   void OnBytes(std::string_view bytes) override;
   void OnCallerDisconnected() override;
-  void AbandonTransaction(const char* reason) override {
-    engine_.AbandonTransaction(reason);
+  void RefuseFurtherWork(const char* reason) override {
+    engine_.RefuseFurtherWork(reason);
   }
   void CloseWhenIdle() override;
   bool IsFullyAnswered() const override {
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -15,8 +15,8 @@
 /// Until then new connections are served.
 constexpr core::milliseconds kLoadBalancerDelay{2300};
 /// Fraction of the shutdown grace period after which open transactions are
-/// rolled back.
-constexpr double kTransactionGraceFraction = 0.5;
+/// rolled back and nothing more is sent to servers.
+constexpr double kWorkFraction = 0.5;
 /// Fraction of the shutdown grace period after which the remaining sessions are
 /// cut off.
 constexpr double kCutOffFraction = 0.9;
@@ -149,16 +149,16 @@
   const auto grace =
       std::chrono::duration<double, std::milli>(settings_.shutdown_grace);
   stop_timer_.expires_at(started + std::chrono::duration_cast<core::duration>(
-                                       grace * kTransactionGraceFraction));
+                                       grace * kWorkFraction));
   stop_timer_.async_wait([this, started, grace](error_code cancelled) {
     if (cancelled) {
       return;
     }
     ForEachCaller([](caller_connection& each) {
-      each.AbandonTransaction("shutdown");
+      each.RefuseFurtherWork("shutdown");
       each.CloseWhenIdle();
     });
-    remote_sessions_.AbandonTransactions("shutdown");
+    remote_sessions_.RefuseFurtherWork("shutdown");
     stop_timer_.expires_at(started + std::chrono::duration_cast<core::duration>(
                                          grace * kCutOffFraction));
     stop_timer_.async_wait([this](error_code stopped) {
--- a/plantaintiller/sessions/hosted_session.h
+++ b/plantaintiller/sessions/hosted_session.h
@@ -32,9 +32,10 @@
   virtual void OnBytes(std::string_view bytes) = 0;
   /// Called when the caller has disconnected; the channel is not used any more.
   virtual void OnCallerDisconnected() = 0;
-  /// Ends an open transaction; its next statement is refused.
-  /// @param reason part of that refusal; a string of static storage.
-  virtual void AbandonTransaction(const char* reason) = 0;
+  /// Ends an open transaction, and refuses from now on whatever would have to
+  /// be sent to a server. What was sent is answered first.
+  /// @param reason part of the refusals; a string of static storage.
+  virtual void RefuseFurtherWork(const char* reason) = 0;
   /// Ends the session as soon as no request is in progress and no transaction
   /// is open.
   virtual void CloseWhenIdle() = 0;
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -182,6 +182,11 @@
     ReplyFailure(failure_code::kUnknownDatabase, database_);
     return;
   }
+  if (refusal_reason_ != nullptr) {
+    deadline_ = arrived_ + route_->statement_timeout;
+    RefuseUnsent();
+    return;
+  }
   transaction_ = transaction::kDeferred;
   transaction_read_only_ = request.kind == statement_kind::kBeginReadOnly;
   transaction_wrote_ = false;
@@ -236,6 +241,10 @@
   }
   attempt_sent_ = false;
   BeginOperation();
+  if (refusal_reason_ != nullptr) {
+    RefuseUnsent();
+    return;
+  }
   if (AdmitOperation()) {
     StartAttempt();
   }
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -79,10 +79,11 @@
   void OnReply(server_reply reply) override;
   void OnConnectionLost() override;
   void OnLeadershipChecked(replication::leadership_result result) override;
-  /// Ends an open transaction, for instance at shutdown; its next statement is
-  /// refused. A statement that is in progress is answered first.
-  /// @param reason part of that refusal; a string of static storage.
-  void AbandonTransaction(const char* reason);
+  /// Ends an open transaction, for instance at shutdown, and refuses from now
+  /// on whatever would have to be sent to a server. A statement that was sent
+  /// is answered first.
+  /// @param reason part of the refusals; a string of static storage.
+  void RefuseFurtherWork(const char* reason);
 
   /// @return whether no request is in progress.
   bool IsIdle() const { return phase_ == phase::kIdle; }
@@ -223,6 +224,11 @@
   bool HasOtherLeader() const;
   void PauseThenRetry(core::milliseconds pause);
   void OnRunningTimeout();
+  /// Ends the open transaction of an idle session; its next statement is
+  /// refused.
+  void AbandonTransaction(const char* reason);
+  /// Refuses the request in progress, of which nothing was sent.
+  void RefuseUnsent();
   void AbandonRequest(failure_code code, const char* reason);
   void FailTransaction(const char* reason);
   /// Appends the retry-after time to the reason of a refusal.
@@ -278,9 +284,8 @@
   /// Whether a leadership check was requested for the current attempt.
   /// Whether the caller's connection is closed once the session is idle.
   bool sends_caller_elsewhere_ = false;
-  /// Why the transaction is to be ended with the request in progress; null if
-  /// it is not.
-  const char* abandon_reason_ = nullptr;
+  /// Why nothing more is sent to a server; null while it is.
+  const char* refusal_reason_ = nullptr;
   bool check_requested_ = false;
   /// Its result; nothing while there is none.
   std::optional<replication::leadership_result> check_result_;
--- a/plantaintiller/sessions/session_replies.cpp
+++ b/plantaintiller/sessions/session_replies.cpp
@@ -102,6 +102,13 @@
     group->Proofs().OnProof(sent_, *proved_position_);
     group->OnLeaderSeen(server_, proved_position_->entry_term, host_.Now());
   }
+  if (refusal_reason_ != nullptr) {
+    // Only the test of the connection, or BEGIN, was sent.
+    ReleaseConnection(HasTransaction() ? release_kind::kRollBack
+                                       : release_kind::kClean);
+    RefuseUnsent();
+    return;
+  }
   if (HasTransaction()) {
     transaction_ = transaction::kOpen;
     SendWithPermit();
@@ -222,6 +229,7 @@
   if (HasTransaction()) {
     const bool can_retry = reply.failure == failure_code::kBusy &&
                            reply.state == session_state::kInTransaction &&
+                           refusal_reason_ == nullptr &&
                            host_.Now() + settings_.busy_pause < deadline_;
     if (can_retry) {
       PauseThenRetry(settings_.busy_pause);
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -50,6 +50,10 @@
 void session_engine::Retry(const char* reason, bool exclude) {
   last_reason_ = reason;
   LogRequest("retry", reason);
+  if (refusal_reason_ != nullptr) {
+    RefuseUnsent();
+    return;
+  }
   if (attempts_ >= settings_.max_attempts || host_.Now() >= WaitDeadline()) {
     AbandonRequest(failure_code::kBusy, reason);
     return;
@@ -200,22 +204,33 @@
   }
 }
 
-void session_engine::AbandonTransaction(const char* reason) {
-  if (!HasTransaction()) {
-    return;
-  }
-  const bool is_unsent = phase_ == phase::kAcquiring ||
-                         phase_ == phase::kAwaitingRetry ||
-                         phase_ == phase::kAwaitingPermit;
-  if (is_unsent) {
-    if (phase_ == phase::kAcquiring) {
+void session_engine::RefuseFurtherWork(const char* reason) {
+  refusal_reason_ = reason;
+  switch (phase_) {
+    case phase::kIdle:
+      AbandonTransaction(reason);
+      return;
+    case phase::kAcquiring:
       host_.CancelAcquire();
-    }
-    FailTransaction(reason);
-    return;
+      RefuseUnsent();
+      return;
+    case phase::kAwaitingRetry:
+    case phase::kAwaitingPermit:
+      RefuseUnsent();
+      return;
+    case phase::kBeginning:
+    case phase::kRunning:
+    case phase::kCheckingLeader:
+      return;
   }
-  if (phase_ != phase::kIdle) {
-    abandon_reason_ = reason;
+}
+
+void session_engine::RefuseUnsent() {
+  AbandonRequest(failure_code::kBusy, refusal_reason_);
+}
+
+void session_engine::AbandonTransaction(const char* reason) {
+  if (!HasTransaction()) {
     return;
   }
   ReleaseConnection(release_kind::kRollBack);
@@ -301,8 +316,8 @@
   } else {
     host_.ClearTimer();
   }
-  if (abandon_reason_ != nullptr) {
-    AbandonTransaction(std::exchange(abandon_reason_, nullptr));
+  if (refusal_reason_ != nullptr) {
+    AbandonTransaction(refusal_reason_);
   }
 }
 
--- a/tests/forwarding/forwarding_test.cpp
+++ b/tests/forwarding/forwarding_test.cpp
@@ -53,7 +53,7 @@
     channel_ = nullptr;
     disconnected = true;
   }
-  void AbandonTransaction(const char* reason) override { abandoned = reason; }
+  void RefuseFurtherWork(const char* reason) override { abandoned = reason; }
   void CloseWhenIdle() override {
     if (channel_ != nullptr) {
       channel_->Finish();
@@ -190,7 +190,7 @@
   CHECK(caller.answers[1] == "did begin");
   CHECK(session->Unanswered().empty());
   CHECK(session->InTransaction());
-  session->AbandonTransaction();
+  session->RefuseFurtherWork();
   CHECK(test.RunUntil(
       [&] { return !test.serving.remote_sessions[0]->abandoned.empty(); }));
   session->Close();
--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -179,9 +179,12 @@
     engine.OnMessage(*host.callers.Take(buffer));
   }
   /// Gives the session a connection to a server. @return the connection.
-  fake_connection& GrantConnection(const std::string& server) {
+  /// @param silence how long ago the server has sent something.
+  fake_connection& GrantConnection(
+      const std::string& server,
+      core::milliseconds silence = core::milliseconds(0)) {
     connections.push_back(std::make_unique<fake_connection>(server));
-    connections.back()->last_received = host.now;
+    connections.back()->last_received = host.now - silence;
     host.need.reset();
     engine.OnConnection(*connections.back());
     return *connections.back();
