A connection left in a failed transaction is rolled back before it is used again

What callers saw: nobody has reported it.

Cause: a session released such a connection as clean, as it had no transaction of its own, and the pool gave it to the next session as it was. What the server had said of the connection's state was not looked at.

Evidence: server_link_test, "a failed transaction is rolled back before reuse", failed before. Its two neighbours guard what had no test of the connection itself: with the check of unknown values taken out, "with unknown session values it is not used again" failed, and with that of the refused roll-back taken out the third one.

Fix: the connection keeps the state of the server's last answer and becomes idle only if the server said that no transaction is open; otherwise it is rolled back.

--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -82,6 +82,8 @@
   std::array<char, kReadSize> chunk_{};
   std::string input_;
   sessions::server_reply partial_;
+  /// State that the server gave with its last reply.
+  sessions::session_state server_state_ = sessions::session_state::kIdle;
   /// Number of outstanding replies.
   int outstanding_ = 0;
   link_phase phase_ = link_phase::kOpening;
@@ -176,6 +178,7 @@
     OnStarted(reply);
     return;
   }
+  server_state_ = reply.state;
   if (reply_listener_ != nullptr) {
     reply_listener_->OnReply(std::move(reply));
     return;
@@ -183,7 +186,7 @@
   if (cleaning_ && outstanding_ == 0) {
     cleaning_ = false;
     timer_.cancel();
-    if (reply.state != sessions::session_state::kIdle) {
+    if (server_state_ != sessions::session_state::kIdle) {
       // The roll-back was refused; a transaction may still be open.
       End(link_close_reason::kLost);
       return;
@@ -226,7 +229,8 @@
     End(link_close_reason::kLost);
     return;
   }
-  if (kind == sessions::release_kind::kClean && outstanding_ == 0) {
+  if (kind == sessions::release_kind::kClean && outstanding_ == 0 &&
+      server_state_ == sessions::session_state::kIdle) {
     BecomeIdle();
     return;
   }
--- /dev/null
+++ b/tests/gateway/server_link_test.cpp
@@ -0,0 +1,133 @@
+// What a connection to a server carries when a session releases it.
+#include "plantaintiller/gateway/server_link.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+
+#include "platform/server_line_codec.h"
+
+namespace plantaintiller::gateway {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Counts the events of a link.
+struct recording_listener : server_link_listener {
+  void OnLinkIdle(server_link&, link_phase) override { idle += 1; }
+  void OnLinkClosed(server_link&, link_close_reason, link_phase) override {
+    closed += 1;
+  }
+  int idle = 0;
+  int closed = 0;
+};
+
+struct counting_replies : sessions::reply_listener {
+  void OnReply(sessions::server_reply) override { replies += 1; }
+  void OnConnectionLost() override {}
+  int replies = 0;
+};
+
+/// An acquired link to a server on loopback that the test plays by hand.
+class acquired_link {
+ public:
+  acquired_link()
+      : acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
+        server_(context_) {
+    acceptor_.async_accept(server_, [](boost::system::error_code) {});
+    link = server_link::Open(
+        context_, codec_,
+        {"g", "a", "127.0.0.1", acceptor_.local_endpoint().port(), ""},
+        listener);
+    TakeLine();
+    Answer("READY I 1.1");
+    RunUntil([this] { return listener.idle == 1; });
+    link->Acquire(session);
+  }
+
+  /// Sends a command, to which the server gives an answer of two lines.
+  void Exchange(const std::string& command, const std::string& answer) {
+    const int expected = session.replies + 1;
+    link->Send(command + "\r\n", 1);
+    TakeLine();
+    Answer(answer);
+    RunUntil([&] { return session.replies == expected; });
+  }
+  /// @return the next line that the server receives, without its end.
+  std::string TakeLine() {
+    RunUntil([this] { return server_.is_open() && server_.available() > 0; });
+    const std::size_t size = boost::asio::read_until(
+        server_, boost::asio::dynamic_buffer(received_), "\r\n");
+    const std::string line = received_.substr(0, size - 2);
+    received_.erase(0, size);
+    return line;
+  }
+  void Answer(const std::string& lines) {
+    boost::asio::write(server_, boost::asio::buffer(lines + "\r\n"));
+  }
+  /// Gives up after some seconds, so that a fault ends the test.
+  template <class condition>
+  void RunUntil(condition holds) {
+    for (int event = 0; event < 1000 && !holds(); ++event) {
+      context_.restart();
+      context_.run_one_for(core::milliseconds(5));
+    }
+    REQUIRE(holds());
+  }
+
+  recording_listener listener;
+  counting_replies session;
+  std::shared_ptr<server_link> link;
+
+ private:
+  boost::asio::io_context context_;
+  platform::server_line_codec codec_;
+  tcp::acceptor acceptor_;
+  tcp::socket server_;
+  std::string received_;
+};
+
+}  // namespace
+
+// A connection with refused set-up was given to another client, whose
+// statements ran with values that it had not set (PINNED, review case 3).
+TEST_CASE("server link: with unknown session values it is not used again") {
+  acquired_link test;
+  test.Exchange("QUERY - SET x 5", "ERROR READONLY a\r\nREADY I 1.1");
+  test.link->State().is_known = false;
+  test.link->Release(sessions::release_kind::kRollBack);
+  CHECK(test.listener.closed == 1);
+  CHECK(test.listener.idle == 1);
+}
+
+// A connection that a refused statement had left in a failed transaction was
+// given to another client, whose statements were refused as malformed.
+TEST_CASE("server link: a failed transaction is rolled back before reuse") {
+  acquired_link test;
+  test.Exchange("QUERY 1 EXECUTE s 1a4", "ERROR READONLY a\r\nREADY E 1.1");
+  test.link->Release(sessions::release_kind::kClean);
+  CHECK(test.listener.idle == 1);
+  CHECK(test.TakeLine() == "QUERY - ROLLBACK");
+  test.Answer("COMPLETE -\r\nREADY I 1.1");
+  test.RunUntil([&] { return test.listener.idle == 2; });
+  CHECK(test.listener.closed == 0);
+}
+
+// A connection whose roll-back was refused was given to another client, whose
+// statements ran in the transaction that was still open.
+TEST_CASE("server link: after a refused roll-back it is not used again") {
+  acquired_link test;
+  test.Exchange("QUERY - BEGIN", "COMPLETE -\r\nREADY T 1.1");
+  test.link->Release(sessions::release_kind::kRollBack);
+  CHECK(test.TakeLine() == "QUERY - ROLLBACK");
+  test.Answer("ERROR BUSY full\r\nREADY T 1.1");
+  test.RunUntil([&] { return test.listener.closed == 1; });
+  CHECK(test.listener.idle == 1);
+}
+
+}  // namespace plantaintiller::gateway
