--- a/tests/soak/database_group.py
+++ b/tests/soak/database_group.py
@@ -46,6 +46,8 @@
         self.held_term = 0
         self.draining = False
         self.replication_paused = False
+        # Its reports do not reach the store while this is set.
+        self.cut_from_store = False
         self.answer_loss_probability = 0.0
         self.incarnation = int(time.time() * 1000)
         self.connections = set()
@@ -149,6 +151,9 @@
         handler = getattr(self, "on_" + verb.lower(), None)
         if handler is None:
             return ["ERROR MALFORMED unknown"]
+        if self.lost_leadership() and verb not in ("COMMIT", "ROLLBACK"):
+            return [f"ERROR READONLY {self.server.name}"]
+        self.server.group.on_statement(self, query_id)
         return await handler(query_id, rest)
 
     async def on_set(self, _query_id, rest):
@@ -195,8 +200,6 @@
     async def on_read(self, query_id, rest):
         if query_id == "-":
             return ["ERROR MALFORMED no id"]
-        if self.lost_leadership():
-            return [f"ERROR READONLY {self.server.name}"]
         self.check_attempt(query_id)
         await asyncio.sleep(self.server.group.statement_time)
         found = [each.data for each in self.server.log if each.item == rest]
@@ -295,6 +298,8 @@
         self.fencing = True
         # Account of the connection on which each query was last received.
         self.accounts = {}
+        # Called with the connection and the id of each statement that is run.
+        self.on_statement = lambda session, query_id: None
         # Injected defect: reads are answered even if the log lacks their position.
         self.ignores_positions = False
 
--- a/tests/soak/directed_world.py
+++ b/tests/soak/directed_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import pathlib
+import signal
 import tempfile
 import time
 
@@ -51,6 +52,14 @@
         await self.wait_until(lambda: self.group.leader() not in (None, leader))
         leader.draining = False
 
+    async def kill_all(self):
+        """Kills all instances at the same moment and starts them again."""
+        for each in self.instances:
+            each.send_signal(signal.SIGKILL)
+        for each in self.instances:
+            each.process.wait()
+            each.start()
+
     def log_of(self, instance):
         return pathlib.Path(instance.log.name).read_text()
 
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -73,7 +73,7 @@
         while True:
             for group in self.groups.values():
                 for server in group.servers:
-                    if server.alive:
+                    if server.alive and not server.cut_from_store:
                         last_alive[server.name] = time.monotonic()
                         self.put("servers", "", server.name, self.server_row(server))
                     elif time.monotonic() - last_alive.get(server.name, 0) > 3.6:
