--- /dev/null
+++ b/tests/processes/test_planned_stop.py
@@ -0,0 +1,59 @@
+"""Tests that a planned stop answers what it has passed on to a server."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
+import soak  # noqa: E402
+from directed_world import run_world  # noqa: E402
+
+
+class BusyTransaction(soak.Caller):
+    """A transaction that always waits for an answer, until a statement fails."""
+
+    async def run_at(self, instance, unanswered):
+        self.reader, self.writer = await asyncio.open_connection(
+            instance.host, instance.ports["front"])
+        self.writer.write(b"START orders directed\r\n")
+        await self.read_line(5)
+        await self.send_query(self.next_attempt() + ".1", "BEGIN")
+        code = None
+        while code is None:
+            query_id = self.next_attempt() + ".1"
+            unanswered.add(query_id)
+            code = await self.send_query(query_id, "READ shared")
+            unanswered.discard(query_id)
+        await self.send_query(self.next_attempt() + ".1", "ROLLBACK")
+
+
+class PlannedStopTest(unittest.TestCase):
+    # A transaction that waited for an answer at half of the grace period went on
+    # and was cut off in the middle of a statement (LOST, review case 5).
+    def test_statements_of_open_transactions_are_answered(self):
+        unanswered, passed_on = set(), set()
+
+        async def scenario(world):
+            await world.wait_until(lambda: len(world.checker.acknowledged) > 50)
+            world.group.statement_time = 0.1
+            world.group.on_statement = (
+                lambda connection, query_id: passed_on.add(query_id))
+            stopped = world.instances[0]
+            transactions = [
+                asyncio.create_task(
+                    BusyTransaction(world, "orders").run_at(stopped, unanswered))
+                for _ in range(4)]
+            await asyncio.sleep(1)
+            self.assertTrue(unanswered & passed_on)
+            stopped.send_signal(signal.SIGTERM)
+            await world.wait_until(lambda: stopped.process.poll() is not None)
+            await asyncio.gather(*transactions, return_exceptions=True)
+
+        world = run_world(scenario)
+        self.assertEqual(unanswered & passed_on, set(), world.promotion_log)
+
+
+if __name__ == "__main__":
+    unittest.main()
