The start line of an instance names the sources it was built from

Nothing that an instance writes could tell whether an older commit or a build folder carried over from one had been run.

Each build computes a digest of the product's sources and compiles it in; a checkout's own is printed by cmake -P cmake/source_digest.cmake. It is of the sources, not of the commit, so that it needs no git and no clean checkout.

--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 // Start and stop of an instance.
 
+#include "plantaintiller/core/source_digest.h"
 #include "plantaintiller/gateway/gateway_implementation.h"
 
 namespace plantaintiller::gateway {
@@ -27,6 +28,7 @@
 int gateway::implementation::Run() {
   log_line(log_, "instance", "start")
       .With("instance", settings_.instance)
+      .With("source", core::SourceDigest())
       .With("zone", settings_.zone)
       .With("callers", settings_.callers.host + ":" +
                            std::to_string(settings_.callers.port));
