--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -272,6 +272,10 @@
 class World:
     """All instances, servers, proxies and callers of one run."""
 
+    # Faults that a run draws besides the usual ones; one named twice comes more
+    # often.
+    more_faults = []
+
     def __init__(self, seed, instances, folder):
         self.random = random.Random(seed)
         self.checker = Checker()
@@ -352,7 +356,7 @@
         server, proxy = rng.choice(list(zip(self.group.servers, self.proxies)))
         leader = self.group.leader()
         platform, undo = self.platform, None
-        kind = rng.choice([
+        kind = rng.choice(self.more_faults + [
             "kill", "pause", "term", "herd", "reset", "silence", "delay",
             "one_way", "leader_crash", "drain", "deaf", "lost_answers",
             "store_busy", "store_silent", "store_lost", "store_restored",
@@ -389,6 +393,11 @@
         elif kind == "deaf" and server is not leader:
             server.replication_paused = True
             undo = lambda: setattr(server, "replication_paused", False)
+        elif kind == "lapse":
+            # Its entry is removed after three intervals of silence.
+            server.cut_from_store = True
+            undo = lambda: setattr(server, "cut_from_store", False)
+            duration += 4
         elif kind == "lost_answers":
             server.answer_loss_probability = 0.05
             undo = lambda: setattr(server, "answer_loss_probability", 0.0)
@@ -535,7 +544,12 @@
         "--unfenced", action="store_true",
         help="the platform carries out promotions with outdated tokens",
     )
+    parser.add_argument(
+        "--more", nargs="*", default=[], metavar="FAULT",
+        help="faults drawn besides the usual ones, for instance lapse",
+    )
     arguments = parser.parse_args()
+    World.more_faults = arguments.more
     Instance.contracts = arguments.contracts
     Instance.fencing = not arguments.unfenced
     signal.signal(signal.SIGTERM, end_by_signal)
