--- a/plantaintiller/forwarding/forwarded_stream.cpp
+++ b/plantaintiller/forwarding/forwarded_stream.cpp
@@ -48,7 +48,7 @@
 }
 
 void forwarded_stream::RefuseFurtherWork() {
-  SendFrame(frame_kind::kAbandonTransaction, "");
+  SendFrame(frame_kind::kRefuseFurtherWork, "");
 }
 
 void forwarded_stream::OnFrame(const session_frame& frame) {
--- a/plantaintiller/forwarding/frame_codec.cpp
+++ b/plantaintiller/forwarding/frame_codec.cpp
@@ -40,7 +40,7 @@
       return wire::SessionFrame::Kind::DATA;
     case frame_kind::kCallerDisconnected:
       return wire::SessionFrame::Kind::GONE;
-    case frame_kind::kAbandonTransaction:
+    case frame_kind::kRefuseFurtherWork:
       return wire::SessionFrame::Kind::ABANDON;
     case frame_kind::kClosed:
       return wire::SessionFrame::Kind::CLOSED;
@@ -60,7 +60,7 @@
     case wire::SessionFrame::Kind::GONE:
       return frame_kind::kCallerDisconnected;
     case wire::SessionFrame::Kind::ABANDON:
-      return frame_kind::kAbandonTransaction;
+      return frame_kind::kRefuseFurtherWork;
     case wire::SessionFrame::Kind::CLOSED:
       return frame_kind::kClosed;
     case wire::SessionFrame::Kind::REFUSED:
--- a/plantaintiller/forwarding/remote_session_link.cpp
+++ b/plantaintiller/forwarding/remote_session_link.cpp
@@ -149,7 +149,7 @@
     case frame_kind::kData:
       session->OnBytes(frame.bytes);
       return;
-    case frame_kind::kAbandonTransaction:
+    case frame_kind::kRefuseFurtherWork:
       session->Session().RefuseFurtherWork("caller_instance_stops");
       return;
     default:
--- a/plantaintiller/forwarding/remote_session_link.h
+++ b/plantaintiller/forwarding/remote_session_link.h
@@ -38,7 +38,8 @@
   /// Closes each session as soon as no request and no transaction is open on
   /// it.
   void CloseWhenIdle();
-  /// Abandons all open transactions. @param reason passed to the sessions.
+  /// Lets no session send anything more to a server.
+  /// @param reason passed to the sessions.
   void RefuseFurtherWork(const char* reason);
   /// Number of sessions that are open on the link.
   std::size_t Sessions() const { return sessions_.size(); }
--- a/plantaintiller/forwarding/remote_session_service.cpp
+++ b/plantaintiller/forwarding/remote_session_service.cpp
@@ -125,9 +125,8 @@
 }
 
 void remote_session_service::RefuseFurtherWork(const char* reason) {
-  implementation_->ForEach([reason](remote_session_link& each) {
-    each.RefuseFurtherWork(reason);
-  });
+  implementation_->ForEach(
+      [reason](remote_session_link& each) { each.RefuseFurtherWork(reason); });
 }
 
 std::size_t remote_session_service::Sessions() const {
--- a/plantaintiller/forwarding/remote_session_service.h
+++ b/plantaintiller/forwarding/remote_session_service.h
@@ -55,7 +55,8 @@
   /// Closes each session as soon as no request and no transaction is open on
   /// it.
   void CloseWhenIdle();
-  /// Abandons all open transactions. @param reason passed to the sessions.
+  /// Lets no session send anything more to a server.
+  /// @param reason passed to the sessions.
   void RefuseFurtherWork(const char* reason);
   /// Number of sessions that are served now.
   std::size_t Sessions() const;
--- a/plantaintiller/forwarding/session_frame.h
+++ b/plantaintiller/forwarding/session_frame.h
@@ -16,8 +16,8 @@
   kData,
   /// The caller has disconnected.
   kCallerDisconnected,
-  /// Requests that an open transaction is abandoned.
-  kAbandonTransaction,
+  /// Requests that nothing more of the session is sent to a server.
+  kRefuseFurtherWork,
   /// The session ended at the serving instance.
   kClosed,
   /// The session was not accepted; the caller's instance should try another
--- a/plantaintiller/instances/forwarding.capnp
+++ b/plantaintiller/instances/forwarding.capnp
@@ -31,7 +31,7 @@
     data @1;
     # The caller has disconnected.
     gone @2;
-    # Asks the serving instance to abandon an open transaction.
+    # Asks the serving instance to send nothing more of the session to a server.
     abandon @3;
     # The session ended.
     closed @4;
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -183,6 +183,7 @@
     return;
   }
   if (refusal_reason_ != nullptr) {
+    // The time to return depends on the deadline.
     deadline_ = arrived_ + route_->statement_timeout;
     RefuseUnsent();
     return;
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -281,11 +281,11 @@
   std::string requested_account_;
   std::string server_;
   std::deque<reply_role> outstanding_;
-  /// Whether a leadership check was requested for the current attempt.
   /// Whether the caller's connection is closed once the session is idle.
   bool sends_caller_elsewhere_ = false;
   /// Why nothing more is sent to a server; null while it is.
   const char* refusal_reason_ = nullptr;
+  /// Whether a leadership check was requested for the current attempt.
   bool check_requested_ = false;
   /// Its result; nothing while there is none.
   std::optional<replication::leadership_result> check_result_;
--- a/tests/gateway/server_link_test.cpp
+++ b/tests/gateway/server_link_test.cpp
@@ -63,7 +63,7 @@
     RunUntil([this] { return server_.is_open() && server_.available() > 0; });
     const std::size_t size = boost::asio::read_until(
         server_, boost::asio::dynamic_buffer(received_), "\r\n");
-    const std::string line = received_.substr(0, size - 2);
+    std::string line = received_.substr(0, size - 2);
     received_.erase(0, size);
     return line;
   }
--- a/tests/platform/session_values_test.cpp
+++ b/tests/platform/session_values_test.cpp
@@ -198,7 +198,7 @@
     in_transaction_ = true;
     return "COMPLETE -";
   }
-  const std::string answer = RunStatement(std::stoi(id), text);
+  std::string answer = RunStatement(std::stoi(id), text);
   if (verb == "EXECUTE") {
     const tracked_session* session = servers_.Find(std::stoi(id));
     const auto found = shapes_.find(first);
