--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -45,8 +45,7 @@
                 asyncio.create_task(
                     BusyTransaction(world, "orders").run_at(stopped, unanswered))
                 for _ in range(4)]
-            await asyncio.sleep(1)
-            self.assertTrue(unanswered & passed_on)
+            await world.wait_until(lambda: len(unanswered & passed_on) > 1)
             stopped.send_signal(signal.SIGTERM)
             await world.wait_until(lambda: stopped.process.poll() is not None)
             await asyncio.gather(*transactions, return_exceptions=True)
