--- a/tests/gateway/server_link_test.cpp
+++ b/tests/gateway/server_link_test.cpp
@@ -35,6 +35,11 @@
 
 /// An acquired link to a server on loopback that the test plays by hand.
 class acquired_link {
+ private:
+  // Freed after the link, which uses them.
+  boost::asio::io_context context_;
+  platform::server_line_codec codec_;
+
  public:
   acquired_link()
       : acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
@@ -85,8 +90,6 @@
   std::shared_ptr<server_link> link;
 
  private:
-  boost::asio::io_context context_;
-  platform::server_line_codec codec_;
   tcp::acceptor acceptor_;
   tcp::socket server_;
   std::string received_;
