--- a/review/7/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""PINNED: a prepared name runs another client's shape."""
+"""UNASKED: a client's data that contains a line feed is run as another statement."""
 
 import asyncio
 import pathlib
@@ -8,41 +8,33 @@
 sys.path.insert(0, str(HERE.parent / "lib2"))
 import stand_ins  # noqa: E402
 
-# Two texts with one XXH3 hash, 9ea942e8be5e94ee. They were found in 23 s of
-# processor time. Without the disruption the second one is another text.
-FIRST, SECOND, OTHER = "qcai3cdkyntzvg", "qmg5m6uwjcxhvl", "qmg5m6uwjcxhvm"
-
-
-class World(stand_ins.World):
-    def __init__(self, record):
-        super().__init__(record)
-        self.executed = {}
-
-    def on_execute(self, session, query, shape):
-        super().on_execute(session, query, shape)
-        self.executed[query] = shape
-
 
 async def scenario(world, trouble):
-    """Two clients prepare different shapes and execute them by turns."""
-    prepared = {}
-    shapes = {"c1": FIRST, "c2": SECOND if trouble else OTHER}
-    clients = []
-    for name, shape in shapes.items():
-        client = stand_ins.Client(world, name)
-        await client.open(world.entries[0], "orders")
-        await client.ask(f"PREPARE s1 WRITE {shape}")
-        clients.append((client, shape))
-    for number in range(10):
-        for client, shape in clients:
-            query, _ = await client.ask(f"EXECUTE s1 item{number} data{number}")
-            prepared[query] = shape
-    for client, _ in clients:
+    """Eight notes are posted, each as one message of one client."""
+    broken, sent = [], {}
+    # The text of a note of two lines: a message ends with CR LF only, and the
+    # last field extends to the end of the line. The second line looks like a
+    # request. Without the disruption the lines are separated by a blank.
+    separator = "\n" if trouble else " "
+    for number in range(8):
+        entry = world.entries[number % len(world.entries)]
+        client = stand_ins.Client(world, f"c{number}")
+        await client.open(entry, "orders")
+        for text in (f"READ item{number}",
+                     f"WRITE item{number} paid{separator}"
+                     f"QUERY 00000000000000{number:02x} WRITE rent{number} 0"):
+            query, _ = await client.ask(text)
+            sent[query] = text
+        await asyncio.sleep(0.1)
         client.close()
-    await asyncio.sleep(0.2)
-    return [f"PINNED: {query} executes {shape}, its client prepared {prepared[query]}"
-            for query, shape in world.executed.items() if shape != prepared[query]]
+    await asyncio.sleep(0.5)
+    for query, text in world.runs:
+        if query not in sent:
+            broken.append(f"UNASKED: {query} {text!r} runs; no client sent that id")
+        elif sent[query] != text:
+            broken.append(f"UNASKED: {query} runs {text!r}, sent was {sent[query]!r}")
+    return broken
 
 
 if __name__ == "__main__":
-    sys.exit(stand_ins.run_case(World, scenario, HERE))
+    sys.exit(stand_ins.run_case(stand_ins.World, scenario, HERE))
