--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,5 @@
 cd "$(dirname "$0")"
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-PYTHONPYCACHEPREFIX="$folder" python3 -m py_compile lib2/stand_ins.py 6/case.py 8/case.py 9/case.py 10/case.py
+PYTHONPYCACHEPREFIX="$folder" python3 -m py_compile lib2/stand_ins.py 6/case.py 7/case.py 8/case.py \
+  9/case.py 10/case.py
--- a/review/lib2/stand_ins.py
+++ b/review/lib2/stand_ins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import os
 import pathlib
@@ -73,9 +74,12 @@
         self.tokens = {}
 
     async def start(self):
-        self.port = free_ports(2)
-        self.servers = [await asyncio.start_server(self.serve, HOST, self.port + n)
-                        for n in range(2)]
+        # Two ports for each entry: those of the store and of the promotions.
+        count = 2 * self.world.entries_count
+        self.port = free_ports(count)
+        self.servers = [await asyncio.start_server(
+            functools.partial(self.serve, 1 + n // 2), HOST, self.port + n)
+            for n in range(count)]
 
     def put(self, table, part, key, value):
         self.version += 1
@@ -96,7 +100,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def serve(self, reader, writer):
+    async def serve(self, entry, reader, writer):
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -109,6 +113,9 @@
                 body = json.loads(await reader.readexactly(size)) if size else {}
                 await asyncio.sleep(0.004)
                 status, answer = await self.answer(method, target, headers, body)
+                if "table=servers" in target and "rows" in answer:
+                    answer = {**answer, "rows": [self.world.shown(row, entry)
+                                                  for row in answer["rows"]]}
                 text = json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json"
                              f"\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
@@ -447,10 +454,10 @@
 config-apply-ms = 3000
 require-fencing = true
 [platform]
-address = "{HOST}:{world.store.port}"
+address = "{HOST}:{world.store.port + 2 * number - 2}"
 form = "table"
 [cloud]
-address = "{HOST}:{world.store.port + 1}"
+address = "{HOST}:{world.store.port + 2 * number - 1}"
 duties = ["promotion"]
 """)
         self.log_path = world.folder / f"{self.name}.log"
@@ -498,8 +505,14 @@
     def on_commit(self, session, query, item, data):
         self.record.write(f"database {session.name} commits {query} {item!r} {data!r}")
 
+    promotion_s = 0.3
+
+    def shown(self, row, _entry):
+        """Returns the row of a database as one entry reads it."""
+        return row
+
     def on_promote(self, server):
-        asyncio.get_running_loop().call_later(0.3, self.complete_promotion, server)
+        asyncio.get_running_loop().call_later(self.promotion_s, self.complete_promotion, server)
 
     def complete_promotion(self, server):
         if server.alive and not server.primary:
