Logs tell why a link to a server ends and what a promotion was decided on

pool event=link_fault and plantaintiller_server_link_*_total name the fault and how many commands waited; promote and fence lines list each member with state, term, position and hold. Control characters in log values are escaped: an id or a server's text that holds a line feed would have made lines of its own.

--- a/plantaintiller/gateway/connection_pool.cpp
+++ b/plantaintiller/gateway/connection_pool.cpp
@@ -489,6 +489,12 @@
              : kSpareIdleLimit;
 }
 
+void connection_pool::OnLinkFault(server_link& link,
+                                  link_fault fault,
+                                  int outstanding) {
+  listener_.OnServerLinkFault(group_.Name(), link.Server(), fault, outstanding);
+}
+
 void connection_pool::OnLinkClosed(server_link& link,
                                    link_close_reason reason,
                                    link_phase previous_phase) {
--- a/plantaintiller/gateway/connection_pool.h
+++ b/plantaintiller/gateway/connection_pool.h
@@ -51,6 +51,12 @@
     /// Called when an idle connection was closed, so that one of another client
     /// account can be opened.
     virtual void OnConnectionReplaced() = 0;
+    /// Called when a server has sent what can't be matched to a command.
+    /// @param outstanding number of commands that wait for an answer.
+    virtual void OnServerLinkFault(const std::string& group,
+                                   const std::string& server,
+                                   link_fault fault,
+                                   int outstanding) = 0;
   };
 
   /// All references must outlive the pool.
@@ -126,6 +132,9 @@
   void OnLinkClosed(server_link& link,
                     link_close_reason reason,
                     link_phase previous_phase) override;
+  void OnLinkFault(server_link& link,
+                   link_fault fault,
+                   int outstanding) override;
 
  private:
   /// State of a connection that is in use.
--- a/plantaintiller/gateway/event_log.cpp
+++ b/plantaintiller/gateway/event_log.cpp
@@ -122,6 +122,20 @@
   std::thread thread_;
 };
 
+void AppendEscaped(std::string& out, std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  for (const char each : text) {
+    const auto code = static_cast<unsigned char>(each);
+    if (code >= 0x20 && code != 0x7f) {
+      out += each;
+      continue;
+    }
+    out += "\\x";
+    out += kDigits[code >> 4U];
+    out += kDigits[code & 0xfU];
+  }
+}
+
 event_log::event_log() : implementation_(std::make_unique<implementation>()) {}
 
 event_log::~event_log() = default;
@@ -159,7 +173,7 @@
   if (quoted) {
     text_ += '"';
   }
-  text_ += value;
+  AppendEscaped(text_, value);
   if (quoted) {
     text_ += '"';
   }
--- a/plantaintiller/gateway/event_log.h
+++ b/plantaintiller/gateway/event_log.h
@@ -10,6 +10,9 @@
 
 class event_log;
 
+/// Appends a text to a log line with its control characters written as \xNN.
+void AppendEscaped(std::string& out, std::string_view text);
+
 /// One line of the structured log: `key=value` pairs after a fixed prefix. The
 /// line is appended to the log when the object is destroyed.
 class log_line {
@@ -19,7 +22,8 @@
   log_line(const log_line&) = delete;
   log_line& operator=(const log_line&) = delete;
 
-  /// Adds a pair. Values that contain spaces are quoted.
+  /// Adds a pair. Values that contain spaces are quoted; control characters are
+  /// written as \xNN, because callers and servers choose some of the values.
   log_line& With(std::string_view key, std::string_view value);
   log_line& With(std::string_view key, std::int64_t value);
 
--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -167,6 +167,10 @@
   void OnConnectionReplaced() override {
     metrics_.Count("connections_replaced");
   }
+  void OnServerLinkFault(const std::string& group,
+                         const std::string& server,
+                         link_fault fault,
+                         int outstanding) override;
 
   // admission::admission_listener
   void OnAdmissionState(
--- a/plantaintiller/gateway/gateway_peers.cpp
+++ b/plantaintiller/gateway/gateway_peers.cpp
@@ -182,6 +182,18 @@
   exchange_.RequestConnection(group, server);
 }
 
+void gateway::implementation::OnServerLinkFault(const std::string& group,
+                                                const std::string& server,
+                                                link_fault fault,
+                                                int outstanding) {
+  metrics_.Count(std::string("server_link_") + LinkFaultName(fault));
+  log_line(log_, "pool", "link_fault")
+      .With("group", group)
+      .With("server", server)
+      .With("fault", LinkFaultName(fault))
+      .With("outstanding", outstanding);
+}
+
 void gateway::implementation::OnServerUnreachable(const std::string& group,
                                                   const std::string& server) {
   if (replication::group_state* state = Group(group)) {
--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -163,8 +163,12 @@
       return;
     }
     if (outstanding_ == 0 || reply->malformed) {
-      // A reply without a command, or a malformed one: later replies can no
-      // longer be matched to commands.
+      // Later replies can no longer be matched to commands.
+      link_listener_->OnLinkFault(*this,
+                                  reply->malformed
+                                      ? link_fault::kMalformedAnswer
+                                      : link_fault::kUnexpectedAnswer,
+                                  outstanding_);
       End(link_close_reason::kLost);
       return;
     }
@@ -260,6 +264,16 @@
 
 }  // namespace
 
+const char* LinkFaultName(link_fault fault) {
+  switch (fault) {
+    case link_fault::kUnexpectedAnswer:
+      return "unexpected_answer";
+    case link_fault::kMalformedAnswer:
+      return "malformed_answer";
+  }
+  return "malformed_answer";
+}
+
 server_link::~server_link() = default;
 
 std::shared_ptr<server_link> server_link::Open(
--- a/plantaintiller/gateway/server_link.h
+++ b/plantaintiller/gateway/server_link.h
@@ -22,6 +22,17 @@
   kWrongServer,
 };
 
+/// What was wrong with bytes that a server sent.
+enum class link_fault : std::uint8_t {
+  /// An answer although no command waited for one.
+  kUnexpectedAnswer,
+  /// Bytes that are no answer.
+  kMalformedAnswer,
+};
+
+/// @return the name of a fault in logs and metrics, a string of static storage.
+const char* LinkFaultName(link_fault fault);
+
 /// State of a link.
 enum class link_phase : std::uint8_t { kOpening, kIdle, kInUse };
 
@@ -36,6 +47,12 @@
   virtual void OnLinkClosed(server_link& link,
                             link_close_reason reason,
                             link_phase previous_phase) = 0;
+  /// Called when a server has sent what can't be matched to a command, before
+  /// the link is closed for it.
+  /// @param outstanding number of commands that wait for an answer.
+  virtual void OnLinkFault(server_link& link,
+                           link_fault fault,
+                           int outstanding) = 0;
 };
 
 /// Server that a link connects to, and its address.
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -339,6 +339,9 @@
   /// effect before another instance may claim the group.
   core::milliseconds OrderTimeLeft() const;
   void Promote();
+  /// @return what each member answered last, for the log: role or state, term,
+  /// position and hold.
+  std::string DescribeMembers() const;
   void OnPromoted(store::promotion_status status);
   void HoldReplicas();
   /// @return whether a listed server was not asked in the last round.
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -91,6 +91,32 @@
                               settings_.longest_promotion - ClaimAge());
 }
 
+std::string primary_change::DescribeMembers() const {
+  std::string text;
+  const auto append = [&](const std::string& id, const char* listing) {
+    text += ' ' + id + listing;
+    const sessions::server_status* status = StatusOf(id);
+    if (status == nullptr) {
+      text += ":silent";
+      return;
+    }
+    text += (status->is_primary ? ":primary:" : ":replica:") +
+            std::to_string(status->term) + ':' +
+            std::to_string(status->received.entry_term) + '.' +
+            std::to_string(status->received.offset) + ":held" +
+            std::to_string(status->held_term);
+  };
+  for (const auto& [id, listed] : group_.Servers()) {
+    append(id, listed.entry.draining ? "(draining)" : "");
+  }
+  for (const auto& [id, removed] : group_.RemovedServers()) {
+    if (!group_.Servers().contains(id)) {
+      append(id, removed.entry.draining ? "(left)" : "(unlisted)");
+    }
+  }
+  return text;
+}
+
 void primary_change::Promote() {
   if (!IsCandidateRecorded()) {
     step_ = step::kRecording;
@@ -105,7 +131,8 @@
   promote_tries_ += 1;
   promotion_checks_ = 0;
   host_.LogChange(group_.Name(), "promote",
-                  candidate_ + " token " + std::to_string(token_));
+                  candidate_ + " token " + std::to_string(token_) +
+                      " members" + DescribeMembers());
   outstanding_[candidate_].given = host_.Now();
   candidate_position_ = StatusOf(candidate_)->received;
   const std::uint64_t round = ++request_round_;
@@ -325,7 +352,8 @@
           return;
         }
         host_.LogChange(group_.Name(), "fence",
-                        old_leader_ + " token " + std::to_string(token_));
+                        old_leader_ + " token " + std::to_string(token_) +
+                            " members" + DescribeMembers());
         outstanding_[old_leader_].given = host_.Now();
         host_.Promote(
             group_.Name(), old_leader_, token_, OrderTimeLeft(),
--- a/tests/gateway/server_link_test.cpp
+++ b/tests/gateway/server_link_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
+#include <vector>
 
 #include "platform/server_line_codec.h"
 
@@ -23,8 +24,12 @@
   void OnLinkClosed(server_link&, link_close_reason, link_phase) override {
     closed += 1;
   }
+  void OnLinkFault(server_link&, link_fault fault, int) override {
+    faults.emplace_back(LinkFaultName(fault));
+  }
   int idle = 0;
   int closed = 0;
+  std::vector<std::string> faults;
 };
 
 struct counting_replies : sessions::reply_listener {
