--- a/tests/platform/line_codec_test.cpp
+++ b/tests/platform/line_codec_test.cpp
@@ -154,9 +154,9 @@
     std::size_t taken = 0;
     for (int n = 0; n < 200; ++n) {
       const std::string& piece = pieces[random() % pieces.size()];
-      lines += piece.find('\n') != std::string::npos ? 1U : 0U;
       from_caller += piece;
       from_server += piece;
+      lines += from_caller.ends_with(kLineEnd) ? 1U : 0U;
       while (callers.Take(from_caller).has_value()) {
         taken += 1;
       }
@@ -164,8 +164,87 @@
       }
     }
     CHECK(taken == lines);
-    CHECK(from_caller.find('\n') == std::string::npos);
-    CHECK(from_server.find('\n') == std::string::npos);
+    CHECK(from_caller.find(kLineEnd) == std::string::npos);
+    CHECK(from_server.find(kLineEnd) == std::string::npos);
+  }
+}
+
+namespace {
+
+/// @return a text of bytes that a field may hold: all but CR LF in a row. A
+/// blank comes often, as it separates fields.
+std::string DrawField(std::mt19937_64& random, std::size_t max_size) {
+  std::string text;
+  const std::size_t size = random() % (max_size + 1);
+  while (text.size() < size) {
+    const auto drawn = random();
+    const char each = drawn % 8 == 0   ? ' '
+                      : drawn % 8 == 1 ? '\n'
+                      : drawn % 8 == 2 ? '\r'
+                                       : static_cast<char>(drawn >> 8U);
+    if (each != '\n' || text.empty() || text.back() != '\r') {
+      text += each;
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+// A line feed in a client's data ended the line, and what followed ran as a
+// request that nobody had sent (UNASKED, review case 8).
+TEST_CASE("line codec: any bytes of a statement reach the server unchanged") {
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    std::mt19937_64 random(seed);
+    const std::string text = "WRITE 1a4 " + DrawField(random, 40);
+    caller_line_codec callers;
+    std::string buffer = "QUERY 7 " + text + "\r\nQUERY 8 COMMIT\r\n";
+    const auto message = callers.Take(buffer);
+    REQUIRE(message.has_value());
+    CHECK(message->kind == message_kind::kStatement);
+    server_line_codec servers;
+    std::string sent;
+    servers.AppendStatement(sent, message->request, std::nullopt);
+    CHECK(sent == "QUERY 7 " + text + "\r\n");
+    CHECK(callers.Take(buffer)->request.id == "8");
+    CHECK(buffer.empty());
+  }
+}
+
+// As above for prepared statements; a blank at the end of the data was dropped.
+TEST_CASE("line codec: a prepared statement keeps all bytes but its name") {
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    std::mt19937_64 random(seed);
+    const std::string arguments =
+        random() % 8 == 0 ? "" : " " + DrawField(random, 40);
+    caller_line_codec callers;
+    std::string buffer = "QUERY 7 EXECUTE s1" + arguments + "\r\n";
+    server_line_codec servers;
+    std::string sent;
+    servers.AppendExecute(sent, callers.Take(buffer)->request, "w2f",
+                          std::nullopt);
+    CHECK(sent == "QUERY 7 EXECUTE w2f" + arguments + "\r\n");
+  }
+}
+
+// A row that held a line feed ended there, so that the caller got a part of it
+// or the connection was out of step (MIXED).
+TEST_CASE("line codec: any bytes of a row reach the caller unchanged") {
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    std::mt19937_64 random(seed);
+    const std::string row = DrawField(random, 40);
+    server_line_codec servers;
+    std::string buffer =
+        "DATAROW " + row + "\r\nCOMPLETE r.1\r\nREADY I 1.1\r\n";
+    server_reply partial;
+    const auto reply = servers.Take(buffer, partial);
+    REQUIRE(reply.has_value());
+    REQUIRE(reply->rows.size() == 1);
+    caller_line_codec callers;
+    std::string sent;
+    callers.AppendRow(sent, reply->rows.front());
+    CHECK(sent == "DATAROW " + row + "\r\n");
+    CHECK(buffer.empty());
   }
 }
 
--- a/tests/soak/database_group.py
+++ b/tests/soak/database_group.py
@@ -1,13 +1,15 @@
 """Stand-in for a group of database servers that replicate among themselves.
 
 It speaks the line protocol, keeps each server's log in memory and checks what
-only the servers can see: on which server and log each statement runs, and in
-whose transaction.
+only the servers can see: on which server and log each statement runs, in whose
+transaction, and whether a caller has sent it with this text. It may send answers
+a second time, later on the same connection.
 """
 
 import asyncio
 import dataclasses
 import itertools
+import random as random_module
 import time
 
 
@@ -31,6 +33,8 @@
         self.acknowledged = {}
         # Ids of writes refused with the promise that nothing was kept.
         self.not_run = set()
+        # Texts sent by callers: query id -> text.
+        self.sent = {}
 
     def report_violation(self, text):
         self.violations.append(text)
@@ -109,12 +113,21 @@
     def send(self, *lines):
         self.writer.write("".join(line + "\r\n" for line in lines).encode())
 
+    def send_again(self, *lines):
+        if not self.writer.transport.is_closing():
+            self.server.group.repeated_answers += 1
+            self.send(*lines)
+
+    async def read_line(self):
+        """Returns the next line without its end; a line feed alone ends none."""
+        return (await self.reader.readuntil(b"\r\n")).decode()[:-2]
+
     def ready(self):
         state = "T" if self.transaction else "I"
         return f"READY {state} {self.server.position()}"
 
     async def run(self):
-        words = (await self.reader.readline()).decode().split()
+        words = (await self.read_line()).split()
         server = self.server
         wrong = len(words) < 4 or words[1] != server.group.name
         if wrong or words[3] != server.name:
@@ -125,7 +138,7 @@
             return
         self.account = words[2]
         self.send(self.ready())
-        while line := (await self.reader.readline()).decode().rstrip("\r\n"):
+        while line := await self.read_line():
             verb, _, rest = line.partition(" ")
             if verb != "QUERY":
                 return
@@ -137,9 +150,19 @@
             )
             if answer_lost:
                 return
-            self.send(*answer, self.ready())
+            answer = [*answer, self.ready()]
+            self.send(*answer)
+            if server.group.repeats_answer():
+                asyncio.get_running_loop().call_later(
+                    server.group.repetition_delay(), self.send_again, *answer)
             await self.writer.drain()
 
+    def check_sent(self, query_id, text):
+        sent = self.server.group.checker.sent
+        if query_id != "-" and sent.get(query_id) != text:
+            self.server.group.checker.report_violation(
+                f"{query_id} runs {text!r}, sent was {sent.get(query_id)!r}")
+
     async def execute(self, query_id, text):
         verb, _, rest = text.partition(" ")
         if verb == "WAITLSN":
@@ -148,6 +171,7 @@
             if not ignored and not self.server.has_position(position):
                 return ["ERROR LAGGING behind"]
             verb, _, rest = text.partition(" ")
+        self.check_sent(query_id, text)
         handler = getattr(self, "on_" + verb.lower(), None)
         if handler is None:
             return ["ERROR MALFORMED unknown"]
@@ -302,6 +326,17 @@
         self.on_statement = lambda session, query_id: None
         # Injected defect: reads are answered even if the log lacks their position.
         self.ignores_positions = False
+        # Share of the answers that are sent twice, and the longest time between,
+        # drawn apart from the other faults so that these stay the same.
+        self.repetition_probability, self.longest_repetition = 0.0, 0.4
+        self.repetition_random, self.repeated_answers = random_module.Random(0), 0
+
+    def repeats_answer(self):
+        return (self.repetition_probability > 0 and
+                self.repetition_random.random() < self.repetition_probability)
+
+    def repetition_delay(self):
+        return self.repetition_random.random() * self.longest_repetition
 
     def draw_with_probability(self, probability):
         return probability > 0 and self.random.random() < probability
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -63,6 +63,16 @@
 """
 
 
+def draw_data(random):
+    """Returns a text that a field may hold, also such as looks like other lines."""
+    pieces = ["x", " ", "\n", "\r", "\t", "\0", "\u00e9", "\nQUERY q WRITE y 0",
+              "\nREADY I 1.1", "\nDATAROW z", "\nTERMINATE", "QUERY", "COMPLETE -"]
+    text = "".join(random.choice(pieces) for _ in range(random.randint(0, 4)))
+    while "\r\n" in text:  # It ends the line.
+        text = text.replace("\r\n", "")
+    return text
+
+
 class Instance:
     """One entry instance as a process."""
 
@@ -152,15 +162,20 @@
     async def read_line(self, seconds):
         # asyncio.wait_for of Python 3.11 can drop a cancellation.
         async with asyncio.timeout(seconds):
-            return await self.reader.readline()
+            try:
+                return await self.reader.readuntil(b"\r\n")
+            except asyncio.IncompleteReadError:
+                return b""
 
     async def send_query(self, query_id, text, rows=None):
         """Sends one query and reads its answer. Returns the error code or None."""
+        if self.world:
+            self.world.checker.sent[query_id] = text
         self.writer.write(f"QUERY {query_id} {text}\r\n".encode())
         code = None
         while True:
             line = (await self.read_line(6)).decode()
-            word, _, rest = line.strip().partition(" ")
+            word, _, rest = line.removesuffix("\r\n").partition(" ")
             if word == "DATAROW" and rows is not None:
                 rows.append(rest)
             elif word == "COMPLETE":
@@ -195,7 +210,8 @@
         return code
 
     async def check_own_write(self, own_item, last_written):
-        code = await self.write(own_item, last_written + 1)
+        data = f"{last_written + 1} {draw_data(self.world.data_random)}"
+        code = await self.write(own_item, data)
         if code is not None:
             # The outcome may be unknown, so the next session uses another item.
             raise ConnectionError(code)
@@ -204,9 +220,9 @@
             self.next_attempt() + ".1", f"READ {own_item}", rows
         ) is None:
             reads_own_writes = self.database != "portal"
-            if reads_own_writes and rows != [str(last_written + 1)]:
+            if reads_own_writes and rows != [data]:
                 self.world.checker.report_violation(
-                    f"{self.database}: own write {last_written + 1} read as {rows}"
+                    f"{self.database}: own write {data!r} read as {rows}"
                 )
         return last_written + 1
 
@@ -239,7 +255,8 @@
         if await self.send_query(f"{attempt}.0", "BEGIN") is not None:
             return
         query_id = f"{attempt}.1"
-        code = await self.send_query(query_id, f"WRITE t-{attempt} 1")
+        data = draw_data(self.world.data_random)
+        code = await self.send_query(query_id, f"WRITE t-{attempt} {data}")
         await asyncio.sleep(self.world.random.random() * 0.05)
         roll_back = code is not None or self.world.random.random() < 0.3
         if roll_back:
@@ -275,6 +292,11 @@
     # Faults that a run draws besides the usual ones; one named twice comes more
     # often.
     more_faults = []
+    # Share of the servers' answers that are sent twice; 0 for 2% in every third
+    # seed.
+    repeated_share = 0.0
+    # Whether no other faults are injected.
+    is_calm = False
 
     def __init__(self, seed, instances, folder):
         self.random = random.Random(seed)
@@ -293,6 +315,11 @@
             self.checker, self.random,
         )
         self.group.fencing = Instance.fencing
+        # Draws of their own leave the other faults of a seed as they are.
+        self.data_random = random.Random(f"data {seed}")
+        self.group.repetition_random = random.Random(f"repetition {seed}")
+        if World.repeated_share or seed % 3 == 0:
+            self.group.repetition_probability = World.repeated_share or 0.02
         self.proxies = []
         for number, server in enumerate(self.group.servers, 1):
             proxy = Proxy(f"{network}.4.{number}", base, server.host, server.port)
@@ -451,6 +478,8 @@
         callers.append(SharedItemWriter(self, "orders"))
         tasks += [asyncio.create_task(each.run()) for each in callers]
         end = time.monotonic() + seconds
+        while World.is_calm and time.monotonic() < end:
+            await asyncio.sleep(0.2)
         while time.monotonic() < end:
             await asyncio.sleep(0.4 + self.random.random() * 1.6)
             self.faults.append(f"{time.monotonic() - end + seconds:.1f} "
@@ -510,6 +539,7 @@
         violations = world.checker.violations
         print(f"seed {seed}: {len(world.checker.acknowledged)} writes, "
               f"{world.served_reads} reads, {len(world.faults)} faults, "
+              f"{world.group.repeated_answers} repeated answers, "
               f"{len(violations)} broken", flush=True)
         if violations:
             print("\n".join(["  " + each for each in violations[:10]]
@@ -548,8 +578,14 @@
         "--more", nargs="*", default=[], metavar="FAULT",
         help="faults drawn besides the usual ones, for instance lapse",
     )
+    parser.add_argument(
+        "--repeated", type=float, default=0.0, metavar="SHARE",
+        help="share of the servers' answers that are sent twice, the second one late",
+    )
+    parser.add_argument("--calm", action="store_true", help="no other faults")
     arguments = parser.parse_args()
     World.more_faults = arguments.more
+    World.repeated_share, World.is_calm = arguments.repeated, arguments.calm
     Instance.contracts = arguments.contracts
     Instance.fencing = not arguments.unfenced
     signal.signal(signal.SIGTERM, end_by_signal)
