Answers of a server are matched to the statements they belong to

Cause: answers carry no id. A link matched them by order and noticed a surplus one only while no command waited. An answer that a server sent a second time, late, was taken for that of whatever waited then, and from there on each answer belonged to the command before. The lines of two answers could also be joined: nothing refused rows or a second COMPLETE behind a COMPLETE. As a class: an answer is believed for its place in a stream that the peer doesn't keep in step.

The new cases of server_link_test and line_codec_test name what went wrong.

Why it works: a second answer equals one that the connection has already delivered. answer_sequence recognizes it by its receipt, compared as a whole, or because the waiting command can't have an answer of that form, and drops it; what is new and doesn't fit closes the link. An answer without a receipt that fits but is not new is marked. Who relies on one makes sure: a refusal is passed on only after a status query behind it was answered, a status is asked for again, BEGIN proves nothing and its refusal closes the link.

--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -392,6 +392,9 @@
   }
   SendServerCommand(
       context_, each->pool, server, std::move(bytes), kCommandTimeout,
+      // A hold may only be ended once: another holder may have placed the next.
+      order == replication::server_command::kResume ? answer_use::kIgnored
+                                                    : answer_use::kDecides,
       [self = shared_from_this(),
        done = std::move(done)](std::optional<sessions::server_reply> reply) {
         done(reply.has_value() ? self->dependencies_.status.Read(*reply)
--- a/plantaintiller/gateway/leadership_checks.cpp
+++ b/plantaintiller/gateway/leadership_checks.cpp
@@ -49,7 +49,7 @@
     servers_.AppendStatus(bytes);
     SendServerCommand(
         context_, groups_.at(group)->pool, server, std::move(bytes),
-        kQueryTimeout,
+        kQueryTimeout, answer_use::kDecides,
         [self = shared_from_this(),
          done = std::move(done)](std::optional<sessions::server_reply> reply) {
           if (!self->stopped_) {
--- a/plantaintiller/gateway/send_server_command.cpp
+++ b/plantaintiller/gateway/send_server_command.cpp
@@ -19,10 +19,12 @@
   pending_command(boost::asio::io_context& context,
                   connection_pool& pool,
                   std::string bytes,
+                  answer_use use,
                   server_command_callback done)
       : timer_(context),
         pool_(pool),
         bytes_(std::move(bytes)),
+        use_(use),
         done_(std::move(done)) {}
 
   void Start(const std::string& server, core::milliseconds timeout) {
@@ -43,9 +45,16 @@
   sessions::reply_listener& Listener() override { return *this; }
   void OnConnection(sessions::server_connection& connection) override {
     connection_ = &connection;
-    connection.Send(bytes_, 1);
+    connection.Send(bytes_, {sessions::command_kind::kStatus});
   }
   void OnReply(sessions::server_reply reply) override {
+    if (reply.may_be_repeated && use_ == answer_use::kDecides &&
+        !asked_again_) {
+      // The second of two answers was given after the first command was sent.
+      asked_again_ = true;
+      connection_->Send(bytes_, {sessions::command_kind::kStatus});
+      return;
+    }
     End(std::move(reply), sessions::release_kind::kClean);
   }
   void OnConnectionLost() override {
@@ -67,6 +76,8 @@
   boost::asio::steady_timer timer_;
   connection_pool& pool_;
   std::string bytes_;
+  answer_use use_;
+  bool asked_again_ = false;
   server_command_callback done_;
   sessions::server_connection* connection_ = nullptr;
   std::shared_ptr<pending_command> self_;
@@ -79,8 +90,9 @@
                        const std::string& server,
                        std::string bytes,
                        core::milliseconds timeout,
+                       answer_use use,
                        server_command_callback done) {
-  std::make_shared<pending_command>(context, pool, std::move(bytes),
+  std::make_shared<pending_command>(context, pool, std::move(bytes), use,
                                     std::move(done))
       ->Start(server, timeout);
 }
--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -55,7 +55,8 @@
     reply_listener_ = &listener;
     phase_ = link_phase::kInUse;
   }
-  void Send(const std::string& bytes, int replies) override;
+  void Send(const std::string& bytes,
+            const std::vector<sessions::command_kind>& commands) override;
   void Release(sessions::release_kind kind) override;
   void Close() override { End(link_close_reason::kLost); }
 
@@ -66,7 +67,16 @@
   void Arm(core::milliseconds limit);
   void Read();
   void OnBytes();
-  void OnReply(sessions::server_reply reply);
+  /// @param kind the command that was answered.
+  void OnReply(sessions::command_kind kind, sessions::server_reply reply);
+  /// @return whether a refusal is kept until it is certain that it answers its
+  /// statement, or the link was closed because it can't be.
+  bool KeepsForTest(sessions::command_kind kind,
+                    const sessions::server_reply& reply);
+  void OnTested(const sessions::server_reply& reply);
+  void Report(link_fault fault);
+  /// Reports a fault and closes the link.
+  void EndFor(link_fault fault);
   void OnStarted(const sessions::server_reply& reply);
   void BecomeIdle();
   void End(link_close_reason reason);
@@ -82,10 +92,9 @@
   std::array<char, kReadSize> chunk_{};
   std::string input_;
   sessions::server_reply partial_;
-  /// State that the server gave with its last reply.
-  sessions::session_state server_state_ = sessions::session_state::kIdle;
-  /// Number of outstanding replies.
-  int outstanding_ = 0;
+  sessions::answer_sequence sequence_;
+  /// Refusal that is passed on when the test behind it is answered.
+  std::optional<sessions::server_reply> kept_refusal_;
   link_phase phase_ = link_phase::kOpening;
   bool started_ = false;
   bool cleaning_ = false;
@@ -116,7 +125,7 @@
         std::string start;
         self->codec_.AppendStart(start, self->target_.account,
                                  self->target_.group, self->target_.server);
-        self->Send(start, 1);
+        self->Send(start, {sessions::command_kind::kStart});
         self->Read();
       });
 }
@@ -130,8 +139,12 @@
   });
 }
 
-void link_implementation::Send(const std::string& bytes, int replies) {
-  outstanding_ += replies;
+void link_implementation::Send(
+    const std::string& bytes,
+    const std::vector<sessions::command_kind>& commands) {
+  for (const sessions::command_kind each : commands) {
+    sequence_.OnSent(each);
+  }
   if (!closed_) {
     writer_.Send(bytes, shared_from_this());
   }
@@ -162,35 +175,58 @@
     if (!reply.has_value()) {
       return;
     }
-    if (outstanding_ == 0 || reply->malformed) {
-      // Later replies can no longer be matched to commands.
-      link_listener_->OnLinkFault(*this,
-                                  reply->malformed
-                                      ? link_fault::kMalformedAnswer
-                                      : link_fault::kUnexpectedAnswer,
-                                  outstanding_);
-      End(link_close_reason::kLost);
+    if (reply->malformed) {
+      EndFor(link_fault::kMalformedAnswer);
       return;
     }
-    outstanding_ -= 1;
-    OnReply(std::move(*reply));
+    const std::optional<sessions::command_kind> next = sequence_.Next();
+    switch (sequence_.OnAnswer(*reply)) {
+      case sessions::answer_match::kAnswer:
+        OnReply(*next, std::move(*reply));
+        break;
+      case sessions::answer_match::kRepeated:
+        Report(link_fault::kRepeatedAnswer);
+        break;
+      case sessions::answer_match::kOutOfStep:
+        EndFor(link_fault::kOutOfStep);
+        break;
+      case sessions::answer_match::kUnexpected:
+        EndFor(link_fault::kUnexpectedAnswer);
+        break;
+    }
   }
 }
 
-void link_implementation::OnReply(sessions::server_reply reply) {
+void link_implementation::Report(link_fault fault) {
+  link_listener_->OnLinkFault(*this, fault,
+                              static_cast<int>(sequence_.Waiting()));
+}
+
+void link_implementation::EndFor(link_fault fault) {
+  Report(fault);
+  End(link_close_reason::kLost);
+}
+
+void link_implementation::OnReply(sessions::command_kind kind,
+                                  sessions::server_reply reply) {
   if (!started_) {
     OnStarted(reply);
     return;
   }
-  server_state_ = reply.state;
+  if (kept_refusal_.has_value()) {
+    OnTested(reply);
+    return;
+  }
   if (reply_listener_ != nullptr) {
-    reply_listener_->OnReply(std::move(reply));
+    if (!KeepsForTest(kind, reply)) {
+      reply_listener_->OnReply(std::move(reply));
+    }
     return;
   }
-  if (cleaning_ && outstanding_ == 0) {
+  if (cleaning_ && sequence_.Waiting() == 0) {
     cleaning_ = false;
     timer_.cancel();
-    if (server_state_ != sessions::session_state::kIdle) {
+    if (sequence_.State() != sessions::session_state::kIdle) {
       // The roll-back was refused; a transaction may still be open.
       End(link_close_reason::kLost);
       return;
@@ -199,6 +235,38 @@
   }
 }
 
+bool link_implementation::KeepsForTest(sessions::command_kind kind,
+                                       const sessions::server_reply& reply) {
+  const bool is_unclear = !reply.succeeded && reply.may_be_repeated &&
+                          (kind == sessions::command_kind::kStatement ||
+                           kind == sessions::command_kind::kCommit);
+  if (!is_unclear) {
+    return false;
+  }
+  if (sequence_.State() == sessions::session_state::kFailedTransaction) {
+    // A failed transaction allows no test.
+    EndFor(link_fault::kOutOfStep);
+    return true;
+  }
+  kept_refusal_ = reply;
+  std::string out;
+  codec_.AppendStatus(out);
+  Send(out, {sessions::command_kind::kStatus});
+  return true;
+}
+
+void link_implementation::OnTested(const sessions::server_reply& reply) {
+  if (!reply.succeeded) {
+    // It may be the refusal of the statement itself.
+    EndFor(link_fault::kOutOfStep);
+    return;
+  }
+  sessions::server_reply refusal = *std::exchange(kept_refusal_, std::nullopt);
+  if (reply_listener_ != nullptr) {
+    reply_listener_->OnReply(std::move(refusal));
+  }
+}
+
 void link_implementation::OnStarted(const sessions::server_reply& reply) {
   timer_.cancel();
   if (reply.succeeded) {
@@ -226,6 +294,7 @@
 
 void link_implementation::Release(sessions::release_kind kind) {
   reply_listener_ = nullptr;
+  kept_refusal_.reset();
   if (closed_) {
     return;
   }
@@ -233,8 +302,8 @@
     End(link_close_reason::kLost);
     return;
   }
-  if (kind == sessions::release_kind::kClean && outstanding_ == 0 &&
-      server_state_ == sessions::session_state::kIdle) {
+  if (kind == sessions::release_kind::kClean && sequence_.Waiting() == 0 &&
+      sequence_.State() == sessions::session_state::kIdle) {
     BecomeIdle();
     return;
   }
@@ -242,7 +311,7 @@
   Arm(kCleanUpTimeout);
   std::string out;
   codec_.AppendRollback(out);
-  Send(out, 1);
+  Send(out, {sessions::command_kind::kRollback});
 }
 
 void link_implementation::End(link_close_reason reason) {
@@ -270,6 +339,10 @@
       return "unexpected_answer";
     case link_fault::kMalformedAnswer:
       return "malformed_answer";
+    case link_fault::kOutOfStep:
+      return "out_of_step";
+    case link_fault::kRepeatedAnswer:
+      return "repeated_answer";
   }
   return "malformed_answer";
 }
--- a/plantaintiller/gateway/server_link.h
+++ b/plantaintiller/gateway/server_link.h
@@ -28,6 +28,11 @@
   kUnexpectedAnswer,
   /// Bytes that are no answer.
   kMalformedAnswer,
+  /// An answer that the command which waits can't have.
+  kOutOfStep,
+  /// An earlier answer for the second time. It is dropped; all others close the
+  /// link.
+  kRepeatedAnswer,
 };
 
 /// @return the name of a fault in logs and metrics, a string of static storage.
@@ -47,8 +52,8 @@
   virtual void OnLinkClosed(server_link& link,
                             link_close_reason reason,
                             link_phase previous_phase) = 0;
-  /// Called when a server has sent what can't be matched to a command, before
-  /// the link is closed for it.
+  /// Called when a server has sent what answers no command, before the link is
+  /// closed for it, if it is.
   /// @param outstanding number of commands that wait for an answer.
   virtual void OnLinkFault(server_link& link,
                            link_fault fault,
@@ -65,8 +70,10 @@
   std::string account;
 };
 
-/// A connection to a backend server. Replies arrive in the order in which the
-/// commands were sent.
+/// A connection to a backend server. Replies are matched to the commands by
+/// their order (`sessions::answer_sequence`). If a refusal may belong to an
+/// earlier statement, the link asks for the server's status before it passes
+/// the refusal on: an answer to the statement itself would arrive first.
 class server_link : public sessions::server_connection,
                     public std::enable_shared_from_this<server_link> {
  public:
--- a/plantaintiller/sessions/server_connection.h
+++ b/plantaintiller/sessions/server_connection.h
@@ -9,6 +9,7 @@
 
 #include "plantaintiller/core/log_position.h"
 #include "plantaintiller/core/time.h"
+#include "plantaintiller/sessions/answer_sequence.h"
 #include "plantaintiller/sessions/statement.h"
 
 namespace plantaintiller::sessions {
@@ -57,8 +58,10 @@
   /// @return the time at which the last byte was received from the server.
   virtual core::time_point LastReceived() const = 0;
   /// Sends commands.
-  /// @param replies number of answers that the commands get.
-  virtual void Send(const std::string& bytes, int replies) = 0;
+  /// @param commands what each of the encoded commands does; each gets one
+  /// answer.
+  virtual void Send(const std::string& bytes,
+                    const std::vector<command_kind>& commands) = 0;
   /// Returns the connection to its pool; the listener is not called any more.
   virtual void Release(release_kind kind) = 0;
 };
--- a/plantaintiller/sessions/session_attempts.cpp
+++ b/plantaintiller/sessions/session_attempts.cpp
@@ -148,8 +148,9 @@
   }
   std::string out;
   const int set_up = AppendSetUp(out);
-  outstanding_.assign(static_cast<std::size_t>(set_up), reply_role::kSetUp);
+  outstanding_.assign(static_cast<std::size_t>(set_up), command_kind::kSetting);
   begin_failed_ = false;
+  begin_failure_unclear_ = false;
   proved_position_.reset();
   check_requested_ = false;
   check_result_.reset();
@@ -180,16 +181,16 @@
                                std::optional<core::log_position> at_least) {
   requested_position_ = at_least;
   host_.Servers().AppendBegin(out, read_only, at_least);
-  outstanding_.push_back(reply_role::kBegin);
+  outstanding_.push_back(command_kind::kBegin);
   if (!keep_open) {
     host_.Servers().AppendRollback(out);
-    outstanding_.push_back(reply_role::kRollback);
+    outstanding_.push_back(command_kind::kRollback);
   }
   phase_ = phase::kBeginning;
   sent_ = host_.Now();
   attempt_sent_ |= keep_open;
   host_.SetTimer(sent_ + settings_.proof_timeout);
-  connection_->Send(out, static_cast<int>(outstanding_.size()));
+  SendCommands(out);
   // Before a write the transaction only tests the connection. A read-only one
   // also succeeds at a server that is no longer the leader, and proves nothing.
   if (keep_open && !read_only) {
@@ -197,6 +198,10 @@
   }
 }
 
+void session_engine::SendCommands(const std::string& bytes) {
+  connection_->Send(bytes, {outstanding_.begin(), outstanding_.end()});
+}
+
 void session_engine::SendWithPermit() {
   if (!host_.AcquirePermit(*connection_)) {
     phase_ = phase::kAwaitingPermit;
@@ -218,7 +223,7 @@
   }
   std::string out;
   const int set_up = AppendSetUp(out);
-  outstanding_.assign(static_cast<std::size_t>(set_up), reply_role::kSetUp);
+  outstanding_.assign(static_cast<std::size_t>(set_up), command_kind::kSetting);
   SendStatement(std::move(out), std::nullopt);
 }
 
@@ -226,7 +231,8 @@
                                    std::optional<core::log_position> at_least) {
   requested_position_ = at_least;
   AppendCurrent(out, at_least);
-  outstanding_.push_back(reply_role::kStatement);
+  outstanding_.push_back(IsCommit() ? command_kind::kCommit
+                                    : command_kind::kStatement);
   if (current_writes_ && HasTransaction()) {
     transaction_wrote_ = true;
   }
@@ -237,7 +243,7 @@
   // the server has begun would only waste it.
   host_.SetTimer(sent_ + route_->statement_timeout);
   LogRequest("sent", current_writes_ ? "write" : "read");
-  connection_->Send(out, static_cast<int>(outstanding_.size()));
+  SendCommands(out);
 }
 
 void session_engine::AppendCurrent(std::string& out,
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -115,13 +115,6 @@
     /// Failed, and reported to the caller.
     kFailed,
   };
-  /// Command that an outstanding answer belongs to.
-  enum class reply_role : std::uint8_t {
-    kSetUp,
-    kBegin,
-    kRollback,
-    kStatement,
-  };
   struct prepared_statement {
     bool writes = false;
     /// Text of the statement, as given to PREPARE.
@@ -198,6 +191,8 @@
   bool NeedsCheck(const server_reply& reply) const;
   /// Ends a request whose server was not confirmed as the leader.
   void OnLeaderNotConfirmed();
+  /// Sends the commands whose answers are outstanding.
+  void SendCommands(const std::string& bytes);
   void SendWithPermit();
   void SendStatement(std::string out,
                      std::optional<core::log_position> at_least);
@@ -280,7 +275,8 @@
   /// Client account of the last connection that was requested.
   std::string requested_account_;
   std::string server_;
-  std::deque<reply_role> outstanding_;
+  /// Commands whose answers are outstanding.
+  std::deque<command_kind> outstanding_;
   /// Whether the caller's connection is closed once the session is idle.
   bool sends_caller_elsewhere_ = false;
   /// Why nothing more is sent to a server; null while it is.
@@ -295,6 +291,8 @@
   std::optional<server_reply> kept_reply_;
   bool begin_failed_ = false;
   failure_code begin_failure_ = failure_code::kOther;
+  /// Whether the refusal of BEGIN may belong to an earlier command.
+  bool begin_failure_unclear_ = false;
   std::optional<core::log_position> proved_position_;
   /// Position that the last command required.
   std::optional<core::log_position> requested_position_;
--- a/plantaintiller/sessions/session_leader_checks.cpp
+++ b/plantaintiller/sessions/session_leader_checks.cpp
@@ -10,9 +10,9 @@
 
 void session_engine::SendLeaderRead(std::string out) {
   host_.Servers().AppendBegin(out, false, std::nullopt);
-  outstanding_.push_back(reply_role::kBegin);
+  outstanding_.push_back(command_kind::kBegin);
   host_.Servers().AppendRollback(out);
-  outstanding_.push_back(reply_role::kRollback);
+  outstanding_.push_back(command_kind::kRollback);
   // A leader that restarted empty lacks the newest proved position.
   replication::group_state* group = host_.Group(route_->group);
   std::optional<core::log_position> position =
@@ -23,13 +23,14 @@
   }
   requested_position_ = position;
   AppendCurrent(out, position);
-  outstanding_.push_back(reply_role::kStatement);
+  outstanding_.push_back(IsCommit() ? command_kind::kCommit
+                                    : command_kind::kStatement);
   phase_ = phase::kBeginning;
   sent_ = host_.Now();
   attempt_sent_ = true;
   host_.SetTimer(sent_ + settings_.proof_timeout);
   LogRequest("sent", "read");
-  connection_->Send(out, static_cast<int>(outstanding_.size()));
+  SendCommands(out);
   RequestLeadershipCheck();
 }
 
--- a/plantaintiller/sessions/session_replies.cpp
+++ b/plantaintiller/sessions/session_replies.cpp
@@ -41,39 +41,45 @@
   if (outstanding_.empty()) {
     return;
   }
-  const reply_role role = outstanding_.front();
+  const command_kind role = outstanding_.front();
   outstanding_.pop_front();
   switch (role) {
-    case reply_role::kSetUp:
+    case command_kind::kSetting:
       if (!reply.succeeded) {
         begin_failed_ = true;
         begin_failure_ = failure_code::kNoStatement;
         connection_->State().is_known = false;
       }
       break;
-    case reply_role::kBegin:
+    case command_kind::kBegin:
       if (!reply.succeeded) {
         begin_failed_ = true;
         begin_failure_ = reply.failure;
-      } else if (reply.position.has_value()) {
+        begin_failure_unclear_ = reply.may_be_repeated;
+      } else if (reply.position.has_value() && !reply.may_be_repeated) {
         proved_position_ = reply.position;
       }
       break;
-    case reply_role::kRollback:
+    case command_kind::kRollback:
       break;
-    case reply_role::kStatement:
+    case command_kind::kStatement:
+    case command_kind::kCommit:
       OnStatementReply(reply);
       return;
+    case command_kind::kStart:
+    case command_kind::kStatus:
+      // Not sent by sessions.
+      return;
   }
   if (phase_ != phase::kBeginning) {
     return;
   }
   if (outstanding_.empty()) {
     OnBeginAnswered();
-  } else if (role == reply_role::kRollback && begin_failed_) {
+  } else if (role == command_kind::kRollback && begin_failed_) {
     // The read behind it may still run; its answer is not used.
     OnBeginAnswered();
-  } else if (role == reply_role::kRollback) {
+  } else if (role == command_kind::kRollback) {
     phase_ = phase::kRunning;
     host_.SetTimer(sent_ + route_->statement_timeout);
   }
@@ -84,7 +90,8 @@
     answering->OnSuccess(server_);
   }
   if (begin_failed_) {
-    const bool broken = begin_failure_ == failure_code::kNoStatement;
+    const bool broken =
+        begin_failure_ == failure_code::kNoStatement || begin_failure_unclear_;
     RecordOutcome(OutcomeOf(begin_failure_), sent_);
     RecordServerFailure(begin_failure_);
     ReleaseConnection(broken                 ? release_kind::kBroken
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -330,8 +330,8 @@
   }
   server_connection* connection = connection_;
   connection_ = nullptr;
-  if (std::find(outstanding_.begin(), outstanding_.end(), reply_role::kSetUp) !=
-      outstanding_.end()) {
+  if (std::find(outstanding_.begin(), outstanding_.end(),
+                command_kind::kSetting) != outstanding_.end()) {
     // Nobody sees whether the set-up succeeds.
     connection->State().is_known = false;
   }
--- a/plantaintiller/sessions/statement.h
+++ b/plantaintiller/sessions/statement.h
@@ -103,6 +103,10 @@
   session_state state = session_state::kIdle;
   /// End of the server's log, if the answer contains it.
   std::optional<core::log_position> position;
+  /// Whether it equals an earlier answer on its connection and has no receipt,
+  /// so that it may have been sent a second time and belong to no command that
+  /// waits.
+  bool may_be_repeated = false;
 };
 
 /// @return the name of a failure in logs and metrics, a string of static
--- a/tests/gateway/account_connections_test.cpp
+++ b/tests/gateway/account_connections_test.cpp
@@ -116,6 +116,10 @@
   }
   void OnServerUnreachable(const std::string&, const std::string&) override {}
   void OnConnectionReplaced() override { replaced += 1; }
+  void OnServerLinkFault(const std::string&,
+                         const std::string&,
+                         link_fault,
+                         int) override {}
 
   template <class condition>
   bool RunUntil(condition holds) {
--- a/tests/gateway/server_link_test.cpp
+++ b/tests/gateway/server_link_test.cpp
@@ -15,6 +15,7 @@
 namespace plantaintiller::gateway {
 
 using boost::asio::ip::tcp;
+using sessions::command_kind;
 
 namespace {
 
@@ -32,10 +33,15 @@
   std::vector<std::string> faults;
 };
 
-struct counting_replies : sessions::reply_listener {
-  void OnReply(sessions::server_reply) override { replies += 1; }
+struct recording_replies : sessions::reply_listener {
+  void OnReply(sessions::server_reply reply) override {
+    replies += 1;
+    outcomes.push_back(reply.succeeded ? reply.receipt : reply.failure_text);
+  }
   void OnConnectionLost() override {}
   int replies = 0;
+  /// The receipt or the failure of each.
+  std::vector<std::string> outcomes;
 };
 
 /// An acquired link to a server on loopback that the test plays by hand.
@@ -61,13 +67,20 @@
   }
 
   /// Sends a command, to which the server gives an answer of two lines.
-  void Exchange(const std::string& command, const std::string& answer) {
+  void Exchange(const std::string& command,
+                sessions::command_kind kind,
+                const std::string& answer) {
     const int expected = session.replies + 1;
-    link->Send(command + "\r\n", 1);
-    TakeLine();
+    Send(command, kind);
     Answer(answer);
     RunUntil([&] { return session.replies == expected; });
   }
+  /// Sends a command and lets the server receive it.
+  void Send(const std::string& command, sessions::command_kind kind) {
+    link->Send(command + "\r\n", {kind});
+    CHECK(TakeLine() == command);
+  }
+  bool HasReceivedLines() { return server_.available() > 0; }
   /// @return the next line that the server receives, without its end.
   std::string TakeLine() {
     RunUntil([this] { return server_.is_open() && server_.available() > 0; });
@@ -91,7 +104,7 @@
   }
 
   recording_listener listener;
-  counting_replies session;
+  recording_replies session;
   std::shared_ptr<server_link> link;
 
  private:
@@ -106,7 +119,8 @@
 // statements ran with values that it had not set (PINNED, review case 3).
 TEST_CASE("server link: with unknown session values it is not used again") {
   acquired_link test;
-  test.Exchange("QUERY - SET x 5", "ERROR READONLY a\r\nREADY I 1.1");
+  test.Exchange("QUERY - SET x 5", command_kind::kSetting,
+                "ERROR READONLY a\r\nREADY I 1.1");
   test.link->State().is_known = false;
   test.link->Release(sessions::release_kind::kRollBack);
   CHECK(test.listener.closed == 1);
@@ -117,7 +131,8 @@
 // given to another client, whose statements were refused as malformed.
 TEST_CASE("server link: a failed transaction is rolled back before reuse") {
   acquired_link test;
-  test.Exchange("QUERY 1 EXECUTE s 1a4", "ERROR READONLY a\r\nREADY E 1.1");
+  test.Exchange("QUERY 1 EXECUTE s 1a4", command_kind::kStatement,
+                "ERROR READONLY a\r\nREADY E 1.1");
   test.link->Release(sessions::release_kind::kClean);
   CHECK(test.listener.idle == 1);
   CHECK(test.TakeLine() == "QUERY - ROLLBACK");
@@ -130,7 +145,8 @@
 // statements ran in the transaction that was still open.
 TEST_CASE("server link: after a refused roll-back it is not used again") {
   acquired_link test;
-  test.Exchange("QUERY - BEGIN", "COMPLETE -\r\nREADY T 1.1");
+  test.Exchange("QUERY - BEGIN", command_kind::kBegin,
+                "COMPLETE -\r\nREADY T 1.1");
   test.link->Release(sessions::release_kind::kRollBack);
   CHECK(test.TakeLine() == "QUERY - ROLLBACK");
   test.Answer("ERROR BUSY full\r\nREADY T 1.1");
@@ -138,4 +154,64 @@
   CHECK(test.listener.idle == 1);
 }
 
+// A late second answer was passed on as the answer to the next statement, and
+// each caller from then on got that of the one before (MIXED).
+TEST_CASE("server link: a second answer is not that of the next statement") {
+  acquired_link test;
+  const std::string first = "DATAROW x\r\nCOMPLETE r.1\r\nREADY I 1.1";
+  test.Exchange("QUERY 1 READ a", command_kind::kStatement, first);
+  test.Send("QUERY 2 READ b", command_kind::kStatement);
+  test.Answer(first);
+  test.Answer("DATAROW y\r\nCOMPLETE r.2\r\nREADY I 1.1");
+  test.RunUntil([&] { return test.session.replies == 2; });
+  CHECK(test.session.outcomes == std::vector<std::string>{"r.1", "r.2"});
+  CHECK(test.listener.faults == std::vector<std::string>{"repeated_answer"});
+  test.link->Release(sessions::release_kind::kClean);
+  CHECK(test.listener.idle == 2);
+}
+
+// The second refusal of an earlier statement was taken for that of a write,
+// which ran all the same and was run again at another server.
+TEST_CASE("server link: a second refusal is not that of the next statement") {
+  acquired_link test;
+  const std::string refusal = "ERROR BUSY full\r\nREADY I 1.1";
+  test.Exchange("QUERY 1 WRITE a 1", command_kind::kStatement, refusal);
+  test.Send("QUERY 2 WRITE b 1", command_kind::kStatement);
+  test.Answer(refusal);
+  test.RunUntil([&] { return test.HasReceivedLines(); });
+  CHECK(test.session.replies == 1);
+  test.Answer("COMPLETE r.2\r\nREADY I 1.2");
+  test.RunUntil([&] { return test.listener.closed == 1; });
+  CHECK(test.session.replies == 1);
+  CHECK(test.listener.faults == std::vector<std::string>{"out_of_step"});
+}
+
+TEST_CASE("server link: a refusal like an earlier one is passed on") {
+  acquired_link test;
+  const std::string refusal = "ERROR BUSY full\r\nREADY I 1.1";
+  test.Exchange("QUERY 1 WRITE a 1", command_kind::kStatement, refusal);
+  test.Send("QUERY 2 WRITE b 1", command_kind::kStatement);
+  test.Answer(refusal);
+  CHECK(test.TakeLine() == "QUERY - PAUSE 0");
+  CHECK(test.session.replies == 1);
+  test.Answer("DATAROW primary 1 1.1 0 0 1 1\r\nCOMPLETE -\r\nREADY I 1.1");
+  test.RunUntil([&] { return test.session.replies == 2; });
+  CHECK(test.session.outcomes.back() == "BUSY full");
+  CHECK(test.listener.faults.empty());
+}
+
+// A second answer that came while a connection was idle closed it.
+TEST_CASE("server link: a second answer between two sessions does no harm") {
+  acquired_link test;
+  const std::string first = "COMPLETE r.1\r\nREADY I 1.1";
+  test.Exchange("QUERY 1 WRITE a 1", command_kind::kStatement, first);
+  test.link->Release(sessions::release_kind::kClean);
+  test.Answer(first);
+  test.RunUntil([&] { return !test.listener.faults.empty(); });
+  CHECK(test.listener.closed == 0);
+  test.Answer("COMPLETE r.9\r\nREADY I 1.1");
+  test.RunUntil([&] { return test.listener.closed == 1; });
+  CHECK(test.listener.faults.back() == "unexpected_answer");
+}
+
 }  // namespace plantaintiller::gateway
--- a/tests/platform/line_codec_test.cpp
+++ b/tests/platform/line_codec_test.cpp
@@ -99,6 +99,31 @@
   CHECK(codec.Take(noise, partial)->malformed);
 }
 
+// The lines of two answers were joined to one, with the rows of both (MIXED).
+TEST_CASE("line codec: nothing but READY follows the outcome of an answer") {
+  const char* const ends[] = {"COMPLETE r.1\r\n", "ERROR BUSY full\r\n"};
+  const char* const others[] = {"DATAROW b\r\n", "COMPLETE r.2\r\n",
+                                "ERROR FAILED x\r\n"};
+  for (const char* end : ends) {
+    for (const char* other : others) {
+      server_line_codec codec;
+      std::string buffer =
+          "DATAROW a\r\n" + std::string(end) + other + "READY I 1.1\r\n";
+      server_reply partial;
+      const auto reply = codec.Take(buffer, partial);
+      REQUIRE(reply.has_value());
+      CHECK(reply->malformed);
+    }
+  }
+  for (const char* line : {"READY X 1.1\r\n", "READY I\r\n", "READY I 1\r\n",
+                           "ERROR \r\n", "DATAROW a\r\nREADY I 1.1\r\n"}) {
+    server_line_codec codec;
+    std::string buffer = line;
+    server_reply partial;
+    CHECK(codec.Take(buffer, partial)->malformed);
+  }
+}
+
 TEST_CASE("line codec: the status row of a server") {
   server_line_codec codec;
   const auto read = [&codec](const char* row) {
--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -23,9 +23,10 @@
   const std::string& Server() const override { return server_; }
   connection_state& State() override { return state_; }
   core::time_point LastReceived() const override { return last_received; }
-  void Send(const std::string& bytes, int replies) override {
+  void Send(const std::string& bytes,
+            const std::vector<command_kind>& commands) override {
     sent += bytes;
-    outstanding += replies;
+    outstanding += static_cast<int>(commands.size());
   }
   void Release(release_kind kind) override { released = kind; }
 
--- a/tests/platform/session_values_test.cpp
+++ b/tests/platform/session_values_test.cpp
@@ -43,7 +43,8 @@
   const std::string& Server() const override { return server_; }
   connection_state& State() override { return state_; }
   core::time_point LastReceived() const override { return last_received; }
-  void Send(const std::string& bytes, int) override {
+  void Send(const std::string& bytes,
+            const std::vector<command_kind>&) override {
     for (std::size_t begin = 0; begin < bytes.size();) {
       const std::size_t end = bytes.find("\r\n", begin);
       commands_.push_back(bytes.substr(begin, end - begin));
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -50,6 +50,13 @@
         run = run_soak("--seeds", "1:2", "--seconds", "8", "--unfenced")
         self.assertEqual(run.returncode, 0, run.stdout + run.stderr)
 
+    # Late second answers reached other callers as theirs, and own writes read as
+    # missing: 49 and 51 violations on these seeds (MIXED).
+    def test_answers_that_are_sent_twice_reach_no_other_caller(self):
+        run = run_soak("--seeds", "101:2", "--seconds", "8", "--repeated", "0.02",
+                       "--calm")
+        self.assertEqual(run.returncode, 0, run.stdout + run.stderr)
+
     def test_servers_that_ignore_positions_are_found(self):
         run = run_soak("--seeds", "1:1", "--seconds", "8", "--planted", "positions")
         self.assertEqual(run.returncode, 1, run.stdout + run.stderr)
