A server that left as planned stays a member until others have its commits

Cause: while a replica drains it confirms commits, and may be the only one that does, as when the others receive nothing. When it left, member_history dropped it from the row `members` with its entry. An instance that had just started knew of no missing replica and promoted another one after 2 s, while the leader, which had the commits, was down. Class: the record of who may have confirmed shrinks on an event that says nothing about where the commits are.

Why it works: a server that left as planned stays in the row until this instance sees a commit acknowledged that was sent after it had left. A remaining replica has received that commit, and with it all earlier ones.

--- a/plantaintiller/gateway/caller_environment.h
+++ b/plantaintiller/gateway/caller_environment.h
@@ -37,6 +37,11 @@
   virtual forwarding::session_forwarder& Forwarder() = 0;
   virtual event_log& Log() = 0;
   virtual statement_metrics& Metrics() = 0;
+  /// Called when a commit was acknowledged that a replica has confirmed.
+  /// @param sent time at which it was sent.
+  virtual void OnCommitConfirmed(const std::string& group,
+                                 const std::string& server,
+                                 core::time_point sent) = 0;
   /// Called when a server has refused a statement because it is not the leader.
   virtual void OnNotLeader(const std::string& group,
                            const std::string& server) = 0;
--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -148,6 +148,12 @@
   forwarding::session_forwarder& Forwarder() override { return forwarder_; }
   event_log& Log() override { return log_; }
   statement_metrics& Metrics() override { return metrics_; }
+  void OnCommitConfirmed(const std::string& group,
+                         const std::string& server,
+                         core::time_point sent) override {
+    leadership_checks_.OnCommitConfirmed(group, server, sent);
+    members_.OnCommitConfirmed(group, sent);
+  }
   void OnNotLeader(const std::string& group,
                    const std::string& server) override;
   void OnServerUnresponsive(const std::string& group,
--- a/plantaintiller/gateway/member_recorder.cpp
+++ b/plantaintiller/gateway/member_recorder.cpp
@@ -32,6 +32,13 @@
     }
   }
 
+  void OnCommitConfirmed(const std::string& name, core::time_point sent) {
+    const auto found = groups_.find(name);
+    if (found != groups_.end()) {
+      found->second.history.OnCommitConfirmed(sent);
+    }
+  }
+
  private:
   struct recorded_group {
     replication::member_history history;
@@ -116,4 +123,9 @@
   implementation_->OnList(group, listed, records, era, now);
 }
 
+void member_recorder::OnCommitConfirmed(const std::string& group,
+                                        core::time_point sent) {
+  implementation_->OnCommitConfirmed(group, sent);
+}
+
 }  // namespace plantaintiller::gateway
--- a/plantaintiller/gateway/member_recorder.h
+++ b/plantaintiller/gateway/member_recorder.h
@@ -30,6 +30,10 @@
               bool records,
               std::uint64_t era,
               core::time_point now);
+  /// Called when a commit of a group was acknowledged that a replica has
+  /// confirmed.
+  /// @param sent time at which it was sent.
+  void OnCommitConfirmed(const std::string& group, core::time_point sent);
 
  private:
   class implementation;
--- a/plantaintiller/replication/member_history.h
+++ b/plantaintiller/replication/member_history.h
@@ -14,9 +14,11 @@
 namespace plantaintiller::replication {
 
 /// The servers of one group that may have confirmed commits: those of the list,
-/// and for a while those that have left it without having been about to stop.
-/// They may go on confirming, or come back with commits that no other replica
-/// has.
+/// and for a while those that have left it. One that left unplanned may go on
+/// confirming, or come back with commits that no other replica has. One that
+/// left as planned is gone with its log: commits that it alone has confirmed
+/// are at the leader only, until the remaining replicas have caught up. A
+/// commit that was acknowledged since shows that one of them has.
 class member_history {
  public:
   /// @param listed the present list; servers of other groups are ignored.
@@ -27,6 +29,9 @@
   /// know.
   void OnRecorded(const std::vector<server_entry>& recorded,
                   core::time_point now);
+  /// Called when a commit was acknowledged that a replica has confirmed.
+  /// @param sent time at which it was sent.
+  void OnCommitConfirmed(core::time_point sent);
   /// @return the members in the order of their ids.
   std::vector<server_entry> Members() const;
 
@@ -34,6 +39,8 @@
   struct member {
     server_entry entry;
     std::optional<core::time_point> unlisted_since;
+    /// Whether a replica that remains has every commit that it confirmed.
+    bool is_covered = false;
   };
   void Forget(core::time_point now);
 
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -131,8 +131,8 @@
   promote_tries_ += 1;
   promotion_checks_ = 0;
   host_.LogChange(group_.Name(), "promote",
-                  candidate_ + " token " + std::to_string(token_) +
-                      " members" + DescribeMembers());
+                  candidate_ + " token " + std::to_string(token_) + " members" +
+                      DescribeMembers());
   outstanding_[candidate_].given = host_.Now();
   candidate_position_ = StatusOf(candidate_)->received;
   const std::uint64_t round = ++request_round_;
