A fence is no way round a candidate that may still be promoted

Cause: where the platform checks tokens, the claim did not name the server whose promotion had been ordered. An instance that took over from a holder without an answer promoted the present leader, to fence the older order off. That is harmless only while it leads: if the older order is carried out first, seconds late, the fence promotes the former leader back. The fence itself was not recorded either. Class: a step that is harmless in the state in which it was ordered, and is carried out in another one.

Evidence: by a test of the decision; the new case "a fence is no way round a candidate that has all" fails without the change (the first order names the present leader). Not reproduced with processes so far.

Why it works: the row names each server before its promotion is ordered, also that of a fence, on every platform. Who takes over goes on with that server under a higher token, even if the former leader answers, as long as it has what the other replicas have; a fence is left for one that is gone, empty or behind. One more write to the store for a change, beside the holds.

--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -278,7 +278,11 @@
     Fence();
     return;
   }
-  if (leader_stays && (!holds_placed_ || holds_ended)) {
+  // Commits that an outstanding candidate lacks would be lost if it is promoted
+  // while the leader goes on.
+  const bool goes_on =
+      IsPromotionOutstanding() && IntactOutstandingCandidate().has_value();
+  if (leader_stays && !goes_on && (!holds_placed_ || holds_ended)) {
     // The leader that seemed unresponsive answers as leader, or another server
     // has become the leader.
     group_.OnLeaderSeen(old_leader_, StatusOf(old_leader_)->term, host_.Now());
@@ -323,7 +327,7 @@
   }
   host_.RequestList();
   QueryServers(step::kHolding);
-  RecordCandidate();
+  Record(candidate_);
 }
 
 void primary_change::ClaimAgain(const char* reason) {
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -51,9 +51,10 @@
   /// got no answer may still be carried out.
   bool settled = false;
   /// Servers whose promotion may have been ordered, under this token or an
-  /// earlier one, and may still be carried out. Recorded before the order where
-  /// the platform does not check tokens; nothing where it does. With each the
-  /// latest time, by the store's clock, at which the order can have been given.
+  /// earlier one, and may still be carried out. Recorded before the order, also
+  /// if it only serves as a fence. With each the latest time, by the store's
+  /// clock, at which the order can have been given. Nothing in a row that is
+  /// settled or was not written by this version.
   std::optional<std::map<std::string, core::milliseconds>> candidates;
   store::row_version version = 0;
   /// Era of the store in which the row was read; not part of the row.
@@ -211,12 +212,16 @@
 ///
 /// All steps run under a fencing token claimed in the store. A promotion that
 /// got no answer may still be carried out later. It does no harm as long as its
-/// server has all acknowledged commits; the change therefore goes on with the
-/// same candidate under a new token. If that candidate is lost, or another
-/// server leads meanwhile, the present leader is promoted under a new token,
-/// which changes nothing but fences the earlier calls off. The change goes on
-/// once a promotion accepted before has taken effect. Holds end only by a
-/// promotion or after such a fence.
+/// server has all acknowledged commits; the change, also one that takes over
+/// from another instance, therefore goes on with the same candidate under a new
+/// token. If that candidate is lost or behind, the present leader is promoted
+/// under a new token, which changes nothing but fences the earlier calls off. A
+/// fence is a promotion all the same: if an earlier call is carried out before
+/// it, it promotes the former leader back, without the commits between. It is
+/// therefore recorded like any other, and is no way to replace a candidate that
+/// may still be promoted without harm. The change goes on once a promotion
+/// accepted before has taken effect. Holds end only by a promotion or after a
+/// fence.
 class primary_change {
  public:
   /// References must outlive the change.
@@ -280,15 +285,14 @@
   /// Takes over the promotions of an earlier holder that may still be carried
   /// out.
   void AddOrdersOf(const group_claim& claim, core::milliseconds store_now);
-  /// Writes the candidate into the row before its promotion is ordered, so that
-  /// an instance that takes over goes on with the same candidate. Renews the
-  /// claim.
-  void RecordCandidate();
-  void OnCandidateRecorded(const group_claim& claim,
-                           const read_time& renewed,
-                           store::call_status status);
-  /// @return whether the row names the candidate, if it has to.
-  bool IsCandidateRecorded() const;
+  /// Writes a server into the row before its promotion is ordered, so that an
+  /// instance that takes over goes on with the same one. Renews the claim.
+  void Record(const std::string& server);
+  void OnRecorded(const group_claim& claim,
+                  const read_time& renewed,
+                  store::call_status status);
+  /// @return whether the row names a server.
+  bool IsRecorded(const std::string& server) const;
   /// Called with the era of each answer of the store. In a new era a claim of
   /// an earlier one is no longer recognized as this instance's own.
   void OnEraSeen(std::uint64_t era);
--- a/plantaintiller/replication/primary_claim.cpp
+++ b/plantaintiller/replication/primary_claim.cpp
@@ -129,7 +129,7 @@
       store_now + core::ToMilliseconds(host_.Now() - read.at +
                                        host_.SuspendedTime() - read.suspended);
   next.settled = false;
-  if (!settings_.fencing && !next.candidates.has_value()) {
+  if (!next.candidates.has_value()) {
     next.candidates.emplace();
   }
   nonce_ = next.nonce;
@@ -147,7 +147,7 @@
 
 void primary_change::AddOrdersOf(const group_claim& claim,
                                  core::milliseconds store_now) {
-  if (settings_.fencing || !claim.candidates.has_value()) {
+  if (!claim.candidates.has_value()) {
     outstanding_[kUnknownServer] = {host_.Now(), true};
     return;
   }
@@ -160,15 +160,13 @@
   }
 }
 
-bool primary_change::IsCandidateRecorded() const {
-  return settings_.fencing || settings_.injected_defects.skip_record ||
-         (claim_.candidates.has_value() &&
-          claim_.candidates->contains(candidate_));
+bool primary_change::IsRecorded(const std::string& server) const {
+  return settings_.injected_defects.skip_record ||
+         (claim_.candidates.has_value() && claim_.candidates->contains(server));
 }
 
-void primary_change::RecordCandidate() {
-  if (recording_ || IsCandidateRecorded() ||
-      (step_ != step::kHolding && step_ != step::kRecording)) {
+void primary_change::Record(const std::string& server) {
+  if (recording_ || IsRecorded(server)) {
     return;
   }
   group_claim next = claim_;
@@ -181,7 +179,7 @@
         next.claimed_at - core::ToMilliseconds(host_.Now() - order.given);
   }
   // The order can be given until the claim lapses.
-  (*next.candidates)[candidate_] = next.claimed_at + settings_.claim_validity;
+  (*next.candidates)[server] = next.claimed_at + settings_.claim_validity;
   recording_ = true;
   const read_time renewed{host_.Now(), host_.SuspendedTime()};
   const std::uint64_t round = ++record_round_;
@@ -191,23 +189,25 @@
                                    store::row_version version) mutable {
         if (round == record_round_ && recording_) {
           next.version = version;
-          OnCandidateRecorded(next, renewed, status);
+          OnRecorded(next, renewed, status);
         }
       });
 }
 
-void primary_change::OnCandidateRecorded(const group_claim& claim,
-                                         const read_time& renewed,
-                                         store::call_status status) {
+void primary_change::OnRecorded(const group_claim& claim,
+                                const read_time& renewed,
+                                store::call_status status) {
   recording_ = false;
-  const bool is_waiting = step_ == step::kRecording;
+  const bool is_waiting = step_ == step::kRecording || step_ == step::kFencing;
   if (status == store::call_status::kDone) {
     OnEraSeen(store::EraOf(claim.version));
     claim_ = claim;
     claim_read_ = renewed;
-    if (is_waiting) {
+    if (step_ == step::kRecording) {
       // The positions are compared again, as they were before the write.
       QueryServers(step::kComparing);
+    } else if (step_ == step::kFencing) {
+      Fence();
     }
   } else if (is_waiting) {
     ClaimAgain("not_recorded");
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -118,9 +118,9 @@
 }
 
 void primary_change::Promote() {
-  if (!IsCandidateRecorded()) {
+  if (!IsRecorded(candidate_)) {
     step_ = step::kRecording;
-    RecordCandidate();
+    Record(candidate_);
     return;
   }
   if (!IsClaimValid()) {
@@ -292,8 +292,7 @@
 }
 
 std::optional<std::string> primary_change::IntactOutstandingCandidate() const {
-  if (settings_.fencing && (outstanding_.size() != 1 || failed_rounds_ > 0 ||
-                            !outstanding_.contains(candidate_))) {
+  if (settings_.fencing && failed_rounds_ > 0) {
     return std::nullopt;
   }
   for (const auto& [server, order] : outstanding_) {
@@ -329,6 +328,10 @@
 
 void primary_change::Fence() {
   step_ = step::kFencing;
+  if (!IsRecorded(old_leader_)) {
+    Record(old_leader_);
+    return;
+  }
   if (++fence_tries_ > kMaxPromoteTries) {
     Abandon("fence");
     return;
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -274,6 +274,39 @@
   CHECK(world.orders[0].server == "b");
 }
 
+// A holder that took over promoted the former leader as a fence. The candidate
+// of its predecessor was promoted first, and the fence took effect after it,
+// without the commits between (LOST, case 2 of issue 43's record).
+TEST_CASE("primary_change: a fence is no way round a candidate that has all") {
+  change_fixture world;
+  world.SetClaimOfOther(7, world.StoreNow() - milliseconds(2600));
+  world.row.candidates.emplace();
+  (*world.row.candidates)["c"] = world.StoreNow() - milliseconds(2000);
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(300));
+  REQUIRE(!world.orders.empty());
+  for (const change_fixture::order& each : world.orders) {
+    CHECK(each.server == "c");
+    REQUIRE(each.row.candidates.has_value());
+    CHECK(each.row.candidates->contains("c"));
+  }
+}
+
+// An instance that took over from the holder of a fence did not know of it.
+TEST_CASE("primary_change: the row names the server of a fence") {
+  change_fixture world;
+  world.SetClaimOfOther(7, world.StoreNow() - milliseconds(2600));
+  world.row.candidates.emplace();
+  (*world.row.candidates)["gone"] = world.StoreNow() - milliseconds(2000);
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(300));
+  REQUIRE(!world.orders.empty());
+  CHECK(world.orders[0].server == "a");
+  REQUIRE(world.orders[0].row.candidates.has_value());
+  CHECK(world.orders[0].row.candidates->contains("a"));
+  CHECK(world.orders[0].row.candidates->contains("gone"));
+}
+
 // A change whose claim had lapsed resumed the replica that the next holder had
 // held (LOST).
 TEST_CASE("primary_change: a replica held by the next holder is not resumed") {
