A commit is passed on only if a server that every instance knows has it

Cause: a server that joins confirms commits of the present leader at once. An instance that changes the leader has compared and held the servers that it knew; it can neither ask the new one before the order nor hold it in time. Class: it is not known which replica has confirmed a commit, and one that the next leader's choice leaves out may have.

The new cases of leadership_check_test and group_state_test describe the steps.

Why it works: while a change is announced, while a listed server is younger than 3 s, while this instance hears nothing of the store, and for slow commits as before, the answer waits until a server that has been listed for 3 s has the commit; otherwise it is in doubt. A change relies on a list that is at most 2 s old, so that such a server is known, held and compared. Draining servers are asked too: they are members until others have their commits. Without trouble nothing more is asked.

--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -294,6 +294,8 @@
   void AdoptServerList(std::vector<replication::server_entry> servers,
                        store::row_version version,
                        change_source source);
+  /// Called when the store was read, by this instance or by one that told it.
+  void OnStoreRead(core::time_point read_at);
   void AnnounceLeader(const std::string& group, change_source source);
   /// Sets the version of the list in use, and registers again if the store has
   /// come back from an older copy.
--- a/plantaintiller/gateway/gateway_state.cpp
+++ b/plantaintiller/gateway/gateway_state.cpp
@@ -84,7 +84,7 @@
 void gateway::implementation::OnServers(
     std::vector<replication::server_entry> servers,
     store::row_version version) {
-  store_read_at_ = core::clock::now();
+  OnStoreRead(core::clock::now());
   if (version < list_version_) {
     // A peer's list has overtaken the answer.
     return;
@@ -109,7 +109,7 @@
 
 void gateway::implementation::OnStoreAge(core::milliseconds age,
                                          std::uint64_t list_version) {
-  store_read_at_ = std::max(store_read_at_, core::clock::now() - age);
+  OnStoreRead(core::clock::now() - age);
   RaiseListVersion(list_version);
   // A list of servers that does not change would leave the shares as they are.
   const core::time_point now = core::clock::now();
@@ -119,6 +119,13 @@
   }
 }
 
+void gateway::implementation::OnStoreRead(core::time_point read_at) {
+  store_read_at_ = std::max(store_read_at_, read_at);
+  for (const auto& [name, group] : groups_) {
+    group->state.OnListCurrent(store_read_at_);
+  }
+}
+
 void gateway::implementation::RaiseListVersion(store::row_version version) {
   if (list_version_ > 0 &&
       store::EraOf(version) > store::EraOf(list_version_)) {
--- a/plantaintiller/gateway/leader_controller.cpp
+++ b/plantaintiller/gateway/leader_controller.cpp
@@ -149,6 +149,9 @@
   }
   void RequestList() override { listener_.OnListNeeded(); }
   void OnChangeClaimed(const std::string& group) override {
+    if (monitored_group* each = Find(group)) {
+      each->group.OnChangeAnnounced(Now());
+    }
     listener_.OnLeaderChange(group);
   }
   void OnChangeDone(const std::string& group,
@@ -292,6 +295,7 @@
     const std::string& name) {
   if (monitored_group* each = Find(name)) {
     each->earliest_start = core::clock::now() + kPeerChangeWait;
+    each->group.OnChangeAnnounced(core::clock::now());
   }
 }
 
--- a/plantaintiller/gateway/leadership_checks.h
+++ b/plantaintiller/gateway/leadership_checks.h
@@ -34,8 +34,10 @@
   void Add(replication::group_state& group, connection_pool& pool);
   /// Requests a check that a server leads its group; without a result if the
   /// group is unknown.
+  /// @param commit as for `replication::leadership_check::Request`.
   void Request(const std::string& group,
                const std::string& server,
+               std::optional<core::log_position> commit,
                replication::leadership_check_listener& listener);
   /// Withdraws the requests of a listener.
   void Cancel(const std::string& group,
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -76,6 +76,11 @@
     if (known != servers_.end()) {
       updated = known->second;
     }
+    const bool is_new =
+        known == servers_.end() || known->second.entry.born_ms != entry.born_ms;
+    if (is_new) {
+      updated.listed_since = ListedSince(entry, now);
+    }
     updated.entry = entry;
     const auto zone = zones.find(entry.zone);
     updated.zone_distance =
@@ -92,6 +97,7 @@
     }
     next.emplace(entry.id, std::move(updated));
   }
+  has_list_ = true;
   KeepUnlistedLeader(next, now);
   RecordRemoved(next, now);
   servers_ = std::move(next);
@@ -109,6 +115,38 @@
   ListBalancedServers(now);
 }
 
+core::time_point group_state::ListedSince(const server_entry& entry,
+                                          core::time_point now) const {
+  const auto removed = removed_.find(entry.id);
+  const bool returns = removed != removed_.end() &&
+                       removed->second.entry.born_ms == entry.born_ms;
+  return has_list_ && !returns ? now : core::time_point{};
+}
+
+bool group_state::IsListCurrent(core::time_point now) const {
+  return list_read_at_ == core::time_point{} ||
+         now - list_read_at_ <= kMaxListAgeForChange;
+}
+
+bool group_state::IsSettled(const std::string& server,
+                            core::time_point now) const {
+  const auto found = servers_.find(server);
+  return found != servers_.end() &&
+         (found->second.listed_since == core::time_point{} ||
+          now - found->second.listed_since >= kSettlingTime);
+}
+
+bool group_state::CommitsNeedCheck(core::time_point now) const {
+  const bool is_changing = change_announced_at_ != core::time_point{} &&
+                           now - change_announced_at_ < kChangeNotice;
+  const bool is_isolated = list_read_at_ != core::time_point{} &&
+                           now - list_read_at_ > kIsolationAge;
+  return is_changing || is_isolated ||
+         std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+           return each.first != leader_ && !IsSettled(each.first, now);
+         });
+}
+
 void group_state::EnableBalancing(std::uint64_t seed,
                                   balancing::ejection_listener* listener) {
   random_.seed(seed);
@@ -221,6 +259,9 @@
   if (term < leader_term_ || !servers_.contains(server)) {
     return;
   }
+  if (term > leader_term_) {
+    change_announced_at_ = {};
+  }
   SetLeader(server, now);
   leader_term_ = term;
   confirmed_term_ = term;
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -59,6 +59,9 @@
     int failures = 0;
     /// Time at which the request that failed first was sent.
     core::time_point first_failure_sent;
+    /// Time since which it is listed; the epoch if it was listed at the start
+    /// of this instance or before it was last seen to leave.
+    core::time_point listed_since;
     /// Time since which it is not listed. An unlisted leader is kept for a
     /// while, as long as it answers, until another server is the leader.
     std::optional<core::time_point> unlisted_since;
@@ -72,6 +75,20 @@
   /// all is never further behind than this.
   static constexpr core::milliseconds kRemovedRetention{30000};
 
+  /// Age of a list up to which a promotion may rely on it. Lists are read once
+  /// a second.
+  static constexpr core::milliseconds kMaxListAgeForChange{2000};
+  /// Time after which a listed server is known to whoever changes the leader:
+  /// the age of the list that a change may rely on, with a read and its answer.
+  static constexpr core::milliseconds kSettlingTime{3000};
+  /// How long an announced change of the leader is expected to go on: a claim
+  /// is valid for as long.
+  static constexpr core::milliseconds kChangeNotice{2500};
+  /// Age of the list from which on this instance may be cut off from the others
+  /// and hear of no change: longer than the interval at which it hears of reads
+  /// by others, in a large deployment.
+  static constexpr core::milliseconds kIsolationAge{5000};
+
   /// @param draining_grace_period how long a server still gets work after it
   /// was first seen draining or missing from the list.
   explicit group_state(
@@ -111,6 +128,24 @@
               const std::map<std::string, distance>& zones,
               core::time_point now);
 
+  /// Called when the list in use is known to have been current.
+  /// @param read_at time at which the store was read, by this instance or by
+  /// one that told it.
+  void OnListCurrent(core::time_point read_at) {
+    list_read_at_ = std::max(list_read_at_, read_at);
+  }
+  /// @return whether the list is recent enough for a promotion; true if its age
+  /// is not known.
+  bool IsListCurrent(core::time_point now) const;
+  /// Called when some instance, this one included, changes the leader.
+  void OnChangeAnnounced(core::time_point now) { change_announced_at_ = now; }
+  /// @return whether a server was listed long enough that every instance which
+  /// changes the leader knows it.
+  bool IsSettled(const std::string& server, core::time_point now) const;
+  /// @return whether a commit may have been confirmed only by a server that a
+  /// change of the leader leaves out, so that it must be checked.
+  bool CommitsNeedCheck(core::time_point now) const;
+
   /// Called with a server that the store names as a member of the group. If it
   /// is not listed, or listed after a restart, it is treated as one that has
   /// just been removed.
@@ -244,6 +279,8 @@
       core::time_point now,
       std::optional<core::log_position> needed) const;
   void SetLeader(const std::string& server, core::time_point now);
+  core::time_point ListedSince(const server_entry& entry,
+                               core::time_point now) const;
   void KeepUnlistedLeader(std::map<std::string, server>& next,
                           core::time_point now) const;
   void ListBalancedServers(core::time_point now);
@@ -264,6 +301,9 @@
   core::term_number leader_term_ = 0;
   core::term_number confirmed_term_ = 0;
   core::time_point leader_seen_;
+  bool has_list_ = false;
+  core::time_point list_read_at_;
+  core::time_point change_announced_at_;
   /// Server that answered that it is not the leader while the list still named
   /// it as leader.
   std::string rejected_leader_;
--- a/plantaintiller/replication/leadership_check.cpp
+++ b/plantaintiller/replication/leadership_check.cpp
@@ -12,6 +12,9 @@
 /// For how long requests fail at once after a round without a result, so that
 /// callers of an instance that is cut off are refused without a wait.
 constexpr core::milliseconds kUnprovenPause{200};
+/// Rounds in which a commit may reach a settled server: it usually has arrived
+/// one round trip after its acknowledgement.
+constexpr int kMaxCommitRounds = 3;
 /// If the last confirmed commit is older than this, none is expected to arrive
 /// within the time of a round.
 constexpr core::milliseconds kCommitExpected{1000};
@@ -24,12 +27,13 @@
     : host_(host), group_(group), defects_(defects) {}
 
 void leadership_check::Request(const std::string& server,
-                               leadership_check_listener& listener) {
+                               leadership_check_listener& listener,
+                               std::optional<core::log_position> commit) {
   if (defects_.join_running_round && running_) {
-    current_.push_back({server, &listener, round_started_});
+    current_.push_back({server, &listener, round_started_, commit});
     return;
   }
-  waiting_.push_back({server, &listener, host_.Now()});
+  waiting_.push_back({server, &listener, host_.Now(), commit});
   if (!running_) {
     StartRound();
   }
@@ -51,7 +55,14 @@
     const leadership_evidence evidence =
         leadership_evidence::FromCommit(server, sent);
     Confirm(evidence, current_);
+    // The answers of a round are older than the commits that wait for the next.
+    const auto commits = std::stable_partition(
+        waiting_.begin(), waiting_.end(),
+        [](const request& each) { return !each.commit.has_value(); });
+    std::vector<request> later(commits, waiting_.end());
+    waiting_.erase(commits, waiting_.end());
     Confirm(evidence, waiting_);
+    waiting_.insert(waiting_.end(), later.begin(), later.end());
     NotifyEnded();
   }
 }
@@ -91,6 +102,20 @@
   for (const std::string& each : others_) {
     Query(each);
   }
+  receivers_.clear();
+  if (std::none_of(current_.begin(), current_.end(), [](const request& each) {
+        return each.commit.has_value();
+      })) {
+    return;
+  }
+  for (const auto& [id, each] : group_.Servers()) {
+    const bool is_asked =
+        std::find(others_.begin(), others_.end(), id) != others_.end();
+    if (id != leader_ && !is_asked && group_.IsSettled(id, host_.Now())) {
+      receivers_.push_back(id);
+      Query(id);
+    }
+  }
 }
 
 void leadership_check::Query(const std::string& server) {
@@ -179,6 +204,10 @@
   const std::optional<leadership_evidence> evidence = GatheredEvidence();
   if (evidence.has_value()) {
     Confirm(*evidence, current_);
+    if (AwaitsReceiver()) {
+      NotifyEnded();
+      return;
+    }
     EndRound(leadership_result::kLeaderChanged);
     return;
   }
@@ -201,7 +230,9 @@
 void leadership_check::Confirm(const leadership_evidence& evidence,
                                std::vector<request>& requests) {
   const auto take = [&](const request& each) {
-    const bool confirmed = evidence.Confirms(each.server, each.requested);
+    const bool confirmed =
+        evidence.Confirms(each.server, each.requested) &&
+        (!each.commit.has_value() || IsReceived(*each.commit));
     if (confirmed) {
       ended_.push_back({each.listener, leadership_result::kConfirmed});
     }
@@ -210,6 +241,30 @@
   std::erase_if(requests, take);
 }
 
+bool leadership_check::IsReceived(core::log_position commit) const {
+  const core::term_number term = group_.ConfirmedLeaderTerm();
+  return std::any_of(answers_.begin(), answers_.end(), [&](const auto& each) {
+    const std::optional<sessions::server_status>& status = each.second;
+    // A log of a later term may lack the commit at the same offset.
+    return each.first != leader_ && status.has_value() && !status->is_primary &&
+           status->term <= term &&
+           status->received.entry_term == commit.entry_term &&
+           status->received.offset >= commit.offset &&
+           group_.IsSettled(each.first, host_.Now());
+  });
+}
+
+bool leadership_check::AwaitsReceiver() const {
+  const bool is_pending = std::any_of(
+      receivers_.begin(), receivers_.end(),
+      [this](const std::string& each) { return !answers_.contains(each); });
+  return is_pending && std::any_of(current_.begin(), current_.end(),
+                                   [this](const request& each) {
+                                     return each.commit.has_value() &&
+                                            each.server == leader_;
+                                   });
+}
+
 void leadership_check::EndRound(leadership_result failure) {
   if (group_.Leader() != leader_) {
     failure = leadership_result::kLeaderChanged;
@@ -220,7 +275,17 @@
     failed_at_ = host_.Now();
   }
   running_ = false;
-  for (const request& each : std::exchange(current_, {})) {
+  for (request& each : std::exchange(current_, {})) {
+    if (each.commit.has_value() && each.server == leader_ &&
+        leader_ == group_.Leader() && !unasked_result_.has_value()) {
+      // The leader is the same, but no settled server has the commit yet.
+      if (++each.rounds < kMaxCommitRounds) {
+        waiting_.push_back(each);
+      } else {
+        ended_.push_back({each.listener, leadership_result::kUnproven});
+      }
+      continue;
+    }
     // The leader may have changed between the request and the round.
     ended_.push_back({each.listener, each.server == leader_
                                          ? failure
--- a/plantaintiller/replication/leadership_check.h
+++ b/plantaintiller/replication/leadership_check.h
@@ -81,6 +81,12 @@
 /// If no other server is listed, only a commit confirms: entries of servers
 /// that do not reach the store lapse, so a list without them proves nothing.
 ///
+/// A commit is confirmed only if, besides, a server that every instance knows
+/// has received it. Which replica has confirmed it to the leader is not known.
+/// It may be one that has joined since another instance compared the logs of
+/// all others and ordered a promotion; the promoted server then lacks the
+/// commit. One that was known is held and compared before the order.
+///
 /// Requests that arrive while a round of queries is in progress wait for the
 /// next round, so that many requests share few queries.
 class leadership_check {
@@ -92,7 +98,11 @@
 
   /// Requests a check that a server is still the leader. The listener is called
   /// later, never during this call.
-  void Request(const std::string& server, leadership_check_listener& listener);
+  /// @param commit position of a commit that the server has acknowledged;
+  /// nothing for a request that commits nothing.
+  void Request(const std::string& server,
+               leadership_check_listener& listener,
+               std::optional<core::log_position> commit = std::nullopt);
   /// Withdraws all requests of a listener.
   void Cancel(leadership_check_listener& listener);
   /// Called when a commit was acknowledged that a replica has confirmed.
@@ -111,6 +121,9 @@
     std::string server;
     leadership_check_listener* listener = nullptr;
     core::time_point requested;
+    std::optional<core::log_position> commit;
+    /// Rounds in which a commit was not confirmed.
+    int rounds = 0;
   };
   /// A request whose listener has yet to be called.
   struct ended_request {
@@ -140,6 +153,11 @@
   /// confirms a request.
   void Confirm(const leadership_evidence& evidence,
                std::vector<request>& requests);
+  /// @return whether a settled server other than the leader has answered that
+  /// it has received a commit of the leader.
+  bool IsReceived(core::log_position commit) const;
+  /// @return whether a commit waits for the answer of a settled server.
+  bool AwaitsReceiver() const;
   /// Ends the round. Its requests that are not confirmed fail.
   /// @param failure result of those that were bound to the presumed leader.
   void EndRound(leadership_result failure);
@@ -162,6 +180,8 @@
   std::string leader_;
   /// The other servers.
   std::vector<std::string> others_;
+  /// Servers that are asked only whether they have received a commit.
+  std::vector<std::string> receivers_;
   bool resolving_ = false;
   status_answers answers_;
   /// Time at which the last round ended without a result; the epoch if it had
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -477,6 +477,15 @@
     QueryServers(step::kComparing);
     return;
   }
+  if (!group_.IsListCurrent(host_.Now())) {
+    // A server that has joined since may have confirmed commits.
+    if (++comparison_rounds_ <= kMaxComparisonRounds) {
+      QueryServers(step::kComparing);
+      return;
+    }
+    RetryOrAbandon("list_outdated");
+    return;
+  }
   if (leader_answered_ && MayUnheldServerConfirm() &&
       !settings_.injected_defects.skip_demotion) {
     DemoteOldLeader();
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -185,7 +185,14 @@
   void SendLeaderRead(std::string out);
   void AppendCurrent(std::string& out,
                      std::optional<core::log_position> at_least);
-  void RequestLeadershipCheck();
+  /// @param commit position of a commit that is checked with it.
+  void RequestLeadershipCheck(
+      std::optional<core::log_position> commit = std::nullopt);
+  /// @return whether the request in progress commits writes.
+  bool CommitsWrites() const {
+    return IsCommit() ? transaction_wrote_
+                      : current_writes_ && !HasTransaction();
+  }
   void CancelLeadershipCheck();
   /// Whether the answer to the statement needs a check of the leader.
   bool NeedsCheck(const server_reply& reply) const;
--- a/plantaintiller/sessions/session_leader_checks.cpp
+++ b/plantaintiller/sessions/session_leader_checks.cpp
@@ -34,11 +34,12 @@
   RequestLeadershipCheck();
 }
 
-void session_engine::RequestLeadershipCheck() {
+void session_engine::RequestLeadershipCheck(
+    std::optional<core::log_position> commit) {
   check_requested_ = true;
   check_result_.reset();
   checked_group_ = route_->group;
-  host_.RequestLeadershipCheck(checked_group_, server_, *this);
+  host_.RequestLeadershipCheck(checked_group_, server_, commit, *this);
 }
 
 void session_engine::CancelLeadershipCheck() {
@@ -73,11 +74,11 @@
   if (check_requested_ && !HasTransaction()) {
     return !check_result_.has_value();
   }
-  const bool commits =
-      IsCommit() ? transaction_wrote_ : current_writes_ && !HasTransaction();
   const replication::group_state* group = host_.Group(route_->group);
-  return commits && (host_.Now() - sent_ > settings_.max_unchecked_commit ||
-                     group == nullptr || !group->CommitsProveLeadership());
+  return CommitsWrites() &&
+         (host_.Now() - sent_ > settings_.max_unchecked_commit ||
+          group == nullptr || !group->CommitsProveLeadership() ||
+          group->CommitsNeedCheck(host_.Now()));
 }
 
 void session_engine::OnLeaderNotConfirmed() {
@@ -88,6 +89,7 @@
                          (IsCommit() || (current_writes_ && !HasTransaction()));
   kept_reply_.reset();
   if (committed) {
+    LogRequest("commit_unconfirmed", reason);
     // The former leader may have committed it after it was replaced.
     ReleaseConnection(release_kind::kClean);
     transaction_ = transaction::kNone;
--- a/plantaintiller/sessions/session_replies.cpp
+++ b/plantaintiller/sessions/session_replies.cpp
@@ -153,7 +153,10 @@
     kept_reply_ = reply;
     phase_ = phase::kCheckingLeader;
     if (checked_group_.empty()) {
-      RequestLeadershipCheck();
+      const bool is_confirmed_commit = CommitsWrites() && group != nullptr &&
+                                       group->CommitsProveLeadership();
+      RequestLeadershipCheck(is_confirmed_commit ? reply.position
+                                                 : std::nullopt);
     }
     return;
   }
@@ -166,8 +169,7 @@
 
 void session_engine::OnSuccess(const server_reply& reply) {
   replication::group_state* group = host_.Group(route_->group);
-  const bool committed =
-      IsCommit() ? transaction_wrote_ : current_writes_ && !HasTransaction();
+  const bool committed = CommitsWrites();
   if (committed && reply.position.has_value()) {
     last_commit_ = std::max(last_commit_, *reply.position);
   }
--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -99,7 +99,9 @@
   void RequestLeadershipCheck(
       const std::string&,
       const std::string&,
+      std::optional<core::log_position> commit,
       replication::leadership_check_listener&) override {
+    checked_commit = commit;
     checks_requested += 1;
     check_pending = true;
   }
@@ -153,6 +155,8 @@
   bool closed = false;
   bool permits_free = true;
   int checks_requested = 0;
+  /// Commit of the last check.
+  std::optional<core::log_position> checked_commit;
   bool check_pending = false;
   int commits_confirmed = 0;
   int permits_requested = 0;
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -204,4 +204,57 @@
   CHECK(!fixture.group.SeenLeader().has_value());
 }
 
+// Commits that a server had confirmed which an instance changing the leader did
+// not know were acknowledged and lost (LOST, review case 7).
+TEST_CASE("group_state: commits are checked while a server has just joined") {
+  group_fixture fixture;
+  CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
+  fixture.List({Entry("a", "near", true), Entry("b", "near", false),
+                Entry("d", "far", false)});
+  CHECK_FALSE(fixture.group.IsSettled("d", fixture.now));
+  CHECK(fixture.group.IsSettled("b", fixture.now));
+  CHECK(fixture.group.CommitsNeedCheck(fixture.now));
+  fixture.now += group_state::kSettlingTime;
+  CHECK(fixture.group.IsSettled("d", fixture.now));
+  CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
+}
+
+TEST_CASE("group_state: a listed server that lapsed and returned is settled") {
+  group_fixture fixture;
+  fixture.List({Entry("a", "near", true), Entry("c", "far", false)});
+  fixture.List({Entry("a", "near", true), Entry("b", "near", false),
+                Entry("c", "far", false)});
+  CHECK(fixture.group.IsSettled("b", fixture.now));
+  server_entry restarted = Entry("b", "near", false);
+  restarted.born_ms = 7;
+  fixture.List({Entry("a", "near", true), restarted, Entry("c", "far", false)});
+  CHECK_FALSE(fixture.group.IsSettled("b", fixture.now));
+}
+
+TEST_CASE("group_state: commits are checked during a change of the leader") {
+  group_fixture fixture;
+  fixture.group.OnChangeAnnounced(fixture.now);
+  CHECK(fixture.group.CommitsNeedCheck(fixture.now));
+  fixture.group.OnLeaderSeen("b", 2, fixture.now);
+  CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
+  fixture.group.OnChangeAnnounced(fixture.now);
+  fixture.now += group_state::kChangeNotice;
+  CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
+}
+
+// An instance that is cut off from the store and from the others hears of no
+// change and of no server that joins.
+TEST_CASE("group_state: commits are checked while the list is outdated") {
+  group_fixture fixture;
+  fixture.group.OnListCurrent(fixture.now);
+  fixture.now += group_state::kIsolationAge;
+  CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
+  CHECK_FALSE(fixture.group.IsListCurrent(fixture.now));
+  fixture.now += milliseconds(1);
+  CHECK(fixture.group.CommitsNeedCheck(fixture.now));
+  fixture.group.OnListCurrent(fixture.now);
+  CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
+  CHECK(fixture.group.IsListCurrent(fixture.now));
+}
+
 }  // namespace plantaintiller::replication
--- a/tests/replication/leadership_check_test.cpp
+++ b/tests/replication/leadership_check_test.cpp
@@ -341,4 +341,74 @@
   CHECK(listener.results.empty());
 }
 
+// A server that had joined while a promotion was under way confirmed commits of
+// the old leader. They were acknowledged, as no other server led yet, and the
+// promoted one lacked them (LOST, review case 7).
+TEST_CASE("leadership_check: a commit must be at a server that others know") {
+  check_fixture world;
+  world.List({"a", "b", "c", "joined"});
+  result_listener commit;
+  world.check.Request("a", commit, core::log_position{3, 20});
+  const auto answer_round = [&world] {
+    // Held for the promotion of one of them, with what they had then.
+    for (const char* held : {"b", "c"}) {
+      server_status status = Replica(3, 4);
+      status.received = {3, 19};
+      world.Answer(held, status);
+    }
+    server_status joined = Replica(3);
+    joined.received = {3, 20};
+    world.Answer("joined", joined);
+  };
+  answer_round();
+  CHECK(commit.results.empty());
+  answer_round();
+  answer_round();
+  CHECK(commit.results == results{leadership_result::kUnproven});
+}
+
+TEST_CASE("leadership_check: a commit that a known replica has is confirmed") {
+  check_fixture world;
+  result_listener commit;
+  world.check.Request("a", commit, core::log_position{3, 20});
+  server_status behind = Replica(3);
+  behind.received = {3, 19};
+  world.Answer("b", behind);
+  world.Answer("c", behind);
+  CHECK(commit.results.empty());
+  world.Answer("b", behind);
+  server_status has = Replica(3);
+  has.received = {3, 20};
+  world.Answer("c", has);
+  CHECK(commit.results == results{leadership_result::kConfirmed});
+}
+
+TEST_CASE("leadership_check: a log of a later term does not show a commit") {
+  check_fixture world;
+  result_listener commit;
+  world.check.Request("a", commit, core::log_position{3, 20});
+  server_status later = Replica(3);
+  later.received = {4, 30};
+  for (int round = 0; round < 3; ++round) {
+    world.Answer("b", later);
+    world.Answer("c", later);
+  }
+  CHECK(commit.results == results{leadership_result::kUnproven});
+}
+
+// Otherwise no commit could be confirmed while the last replica that is known
+// to all drains.
+TEST_CASE("leadership_check: a draining replica is asked for a commit") {
+  check_fixture world;
+  world.List({"a", "b", "joined"}, "b");
+  result_listener commit;
+  world.check.Request("a", commit, core::log_position{3, 20});
+  server_status has = Replica(3);
+  has.received = {3, 20};
+  world.Answer("joined", has);
+  CHECK(commit.results.empty());
+  world.Answer("b", has);
+  CHECK(commit.results == results{leadership_result::kConfirmed});
+}
+
 }  // namespace plantaintiller::replication
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -307,6 +307,23 @@
   CHECK(world.orders[0].row.candidates->contains("gone"));
 }
 
+// A server that had joined since the list was read had confirmed commits that
+// the promoted one lacked (LOST, review case 7).
+TEST_CASE("primary_change: no order on an outdated list") {
+  change_fixture world;
+  world.draining.insert("a");
+  world.List();
+  world.group.OnListCurrent(world.now - group_state::kMaxListAgeForChange);
+  world.now += milliseconds(1);
+  world.change->Start(change_reason::kLeaving);
+  world.Run(milliseconds(1000));
+  CHECK(world.orders.empty());
+  CHECK(world.list_requests > 0);
+  world.group.OnListCurrent(world.now);
+  world.Run(milliseconds(200));
+  CHECK(!world.orders.empty());
+}
+
 // A change whose claim had lapsed resumed the replica that the next holder had
 // held (LOST).
 TEST_CASE("primary_change: a replica held by the next holder is not resumed") {
