An empty log is no candidate while the crashed leader may return

Callers would see: all acknowledged commits are gone (LOST, by promotion of an empty server).

Cause: if all replicas that answer have restarted empty, an instance without a leadership proof knows of no acknowledged commit, and took an empty log for one that has everything after 2 s. Class: no knowledge is taken for the knowledge that there is nothing.

The new case of primary_change_test failed before.

Why it works: a group whose replicas are all empty waits for its leader as long as for one that alone has known commits, 20 s. Only a group that never committed anything pays for it.

--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -386,7 +386,11 @@
   const std::optional<core::log_position> acknowledged_position =
       group_.Proofs().LastPositionBefore(group_.Proofs().LastProofTime() -
                                          settings_.assumed_acknowledged_age);
-  if (acknowledged_position.has_value() && *acknowledged_position > candidate) {
+  // A server that restarted empty lacks whatever the group ever committed.
+  const bool is_empty = candidate.offset == 0 &&
+                        !settings_.injected_defects.ignore_unknown_replicas;
+  if (is_empty || (acknowledged_position.has_value() &&
+                   *acknowledged_position > candidate)) {
     // Only the crashed leader has these commits.
     return blocked_time > settings_.crashed_leader_wait;
   }
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -307,6 +307,26 @@
   CHECK(world.orders[0].row.candidates->contains("gone"));
 }
 
+// Both replicas had restarted empty while the leader, which alone had the
+// commits, was down for seconds; an instance without a leadership proof
+// promoted one of them (LOST, change_world seed 2772).
+TEST_CASE("primary_change: an empty log is no candidate for a while") {
+  change_fixture world;
+  world.unreachable = {"a"};
+  for (const char* id : {"b", "c"}) {
+    world.servers[id].received = {0, 0};
+  }
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(4500));
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(4500));
+  CHECK(world.orders.empty());
+  world.now += world.settings.crashed_leader_wait;
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(1000));
+  CHECK(!world.orders.empty());
+}
+
 // A server that had joined since the list was read had confirmed commits that
 // the promoted one lacked (LOST, review case 7).
 TEST_CASE("primary_change: no order on an outdated list") {
