Waits of a change of leader are not counted from an earlier outage

Cause: primary_change waits up to 20 s for a crashed leader that alone has acknowledged commits, and for servers that left unplanned. The waits count from the first change since the last one of this instance that ended with a leader. A change that is left to another instance (claimed_by_another, the usual end for all instances but one) ends without one, so that the time stayed. Once the process was 20 s past its first outage, it waited for nothing in the next. Class: a time that is kept for one event and read for another.

Why it works: the waits count from the start of the first change since the group was last known to have a leader, by its own answer, by a proof or by what another instance told.

--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -198,6 +198,8 @@
   }
   /// @return the newest term in which any server of the group was seen to lead.
   core::term_number LeaderTerm() const { return leader_term_; }
+  /// @return when a server was last seen to lead; the epoch if none was.
+  core::time_point LeaderSeenAt() const { return leader_seen_; }
   /// @return the last known leader, listed or not.
   const std::string& LastLeader() const { return last_leader_; }
   /// @return the time since which the group has no leader; nothing if it has
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -44,7 +44,10 @@
   initial_leader_ = group_.LastLeader();
   old_leader_ = initial_leader_;
   leader_answered_ = false;
-  if (blocked_since_ == core::time_point()) {
+  // Another instance may have ended the outage that an earlier change was for.
+  const core::time_point leader_seen =
+      std::max(group_.LeaderSeenAt(), group_.Proofs().LastProofTime());
+  if (blocked_since_ == core::time_point() || blocked_since_ < leader_seen) {
     blocked_since_ = started_;
   }
   candidate_.clear();
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -393,7 +393,7 @@
   change_reason reason_ = change_reason::kNoLeader;
   core::time_point started_;
   core::time_point promoted_;
-  /// Start of the first change since the last one that ended with a leader.
+  /// Start of the first change since the group was last known to have a leader.
   core::time_point blocked_since_;
   /// Position of the leader once all other replicas were held.
   std::optional<core::log_position> leader_position_after_holds_;
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -307,6 +307,29 @@
   CHECK(world.orders[0].row.candidates->contains("gone"));
 }
 
+// An instance whose change had been left to another one counted all waits of a
+// later change from then on: it did not wait for a crashed leader that alone had
+// acknowledged commits (LOST, change_world seed 2772; days of less than 30 s
+// can't show it).
+TEST_CASE("primary_change: waits are not counted from an earlier outage") {
+  change_fixture world;
+  world.SetClaimOfOther(7, world.StoreNow());
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(100));
+  REQUIRE(world.leaders == std::vector<std::string>{""});
+  // The other instance has ended the outage; commits are acknowledged again.
+  world.now += milliseconds(30000);
+  world.group.OnLeaderSeen("a", 1, world.now);
+  // Confirmed by a replica that has left since.
+  world.group.Proofs().OnProof(world.now - milliseconds(1000), {1, 20});
+  world.group.Proofs().OnProof(world.now, {1, 20});
+  world.now += milliseconds(100);
+  world.unreachable = {"a"};
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(4500));
+  CHECK(world.orders.empty());
+}
+
 // Both replicas had restarted empty while the leader, which alone had the
 // commits, was down for seconds; an instance without a leadership proof
 // promoted one of them (LOST, change_world seed 2772).
