--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -308,9 +308,9 @@
 }
 
 // An instance whose change had been left to another one counted all waits of a
-// later change from then on: it did not wait for a crashed leader that alone had
-// acknowledged commits (LOST, change_world seed 2772; days of less than 30 s
-// can't show it).
+// later change from then on: it did not wait for a crashed leader that alone
+// had acknowledged commits (LOST, change_world seed 2772). A day of less than
+// 30 s can't show it.
 TEST_CASE("primary_change: waits are not counted from an earlier outage") {
   change_fixture world;
   world.SetClaimOfOther(7, world.StoreNow());
