An HTTP connection with unexpected bytes is not used for another request

The class of the repeated answers, sought elsewhere: what a server sends beyond its answer stayed in the buffer or the socket and was read as the answer to the next request, to the store or to the platform's promotions. The new case of client_test failed before: the second request was answered without being sent on a new connection.

Why it works: a connection that holds bytes when no answer is due is dropped before the next request. An answer repeated while a request waits can't be told from its own; HTTP/1.1 has nothing to match it by.

--- a/plantaintiller/http/client.cpp
+++ b/plantaintiller/http/client.cpp
@@ -63,6 +63,11 @@
       return;
     }
     busy_ = true;
+    if (stream_.has_value() && HasUnexpectedBytes()) {
+      // They would be read as the answer to the next request.
+      stream_.reset();
+      buffer_.clear();
+    }
     if (stream_.has_value()) {
       Write();
       return;
@@ -82,6 +87,12 @@
         });
   }
 
+  /// @return whether the server has sent more than the answers so far.
+  bool HasUnexpectedBytes() const {
+    beast::error_code error;
+    return buffer_.size() > 0 || stream_->socket().available(error) > 0;
+  }
+
   /// @return the time in which the first request must reach the server.
   core::milliseconds TimeLeft() const {
     const exchange& first = queue_.front();
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace plantaintiller::http {
@@ -28,6 +29,15 @@
         connection_(context) {
     acceptor_.async_accept(connection_, [](boost::system::error_code) {});
   }
+  /// Lets the next connection replace the present one.
+  void AcceptNext() {
+    acceptor_.async_accept([this](boost::system::error_code, tcp::socket next) {
+      connection_ = std::move(next);
+      accepted_ += 1;
+    });
+  }
+  /// @return the number of connections accepted by `AcceptNext`.
+  int Accepted() const { return accepted_; }
   std::uint16_t Port() const { return acceptor_.local_endpoint().port(); }
   /// @return the header fields of the next request.
   std::string ReadRequest() {
@@ -59,6 +69,7 @@
  private:
   tcp::acceptor acceptor_;
   tcp::socket connection_;
+  int accepted_ = 0;
 };
 
 request Limited(milliseconds valid_for) {
@@ -118,4 +129,41 @@
   CHECK(ended.back() == exchange_status::kAnswered);
 }
 
+// What a server sends beyond its answer was taken for the answer to the next
+// request, as on the links to databases (MIXED, issue 43).
+TEST_CASE("http client: a second answer is not that of the next request") {
+  boost::asio::io_context context;
+  manual_server server(context);
+  client tested(context, "127.0.0.1", server.Port(), kLongTimeout);
+  std::vector<exchange_status> ended;
+  const auto record = [&](exchange_status status, const response&) {
+    ended.push_back(status);
+  };
+  tested.Send({"GET", "/first", ""}, record);
+  while (server.BytesWaiting() == 0) {
+    context.run_one();
+  }
+  server.ReadRequest();
+  server.Answer();
+  server.Answer();
+  while (ended.empty()) {
+    context.run_one();
+  }
+  server.AcceptNext();
+  tested.Send({"GET", "/next", ""}, record);
+  while (server.Accepted() == 0 && ended.size() == 1) {
+    context.run_one();
+  }
+  REQUIRE(server.Accepted() == 1);
+  while (server.BytesWaiting() == 0) {
+    context.run_one();
+  }
+  CHECK(server.ReadRequest().starts_with("GET /next"));
+  server.Answer();
+  while (ended.size() < 2) {
+    context.run_one();
+  }
+  CHECK(ended.back() == exchange_status::kAnswered);
+}
+
 }  // namespace plantaintiller::http
