Prepared statements have a cryptographic digest as their name at servers

Cause: sessions share prepared statements of a connection by an XXH3 hash of the text, for which a caller can choose two texts. Class: a hash that anybody can collide stands for identity. The name is now 128 bits of BLAKE2b, computed once when the client prepares; nothing more is kept and no statement is prepared anew.

--- a/plantaintiller/sessions/session_attempts.cpp
+++ b/plantaintiller/sessions/session_attempts.cpp
@@ -1,10 +1,7 @@
 // Attempts of a session to run a statement: connections, permits and the
 // commands that are sent. The rest of the class is in session_engine.cpp.
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 #include "plantaintiller/admission/group_admission.h"
@@ -12,20 +9,6 @@
 
 namespace plantaintiller::sessions {
 
-namespace {
-
-/// Name of a prepared statement at the servers. It is a hash of the prepared
-/// text, so that all sessions that use a connection share the statement.
-std::string ServerName(bool writes, const std::string& shape) {
-  char name[24];
-  std::snprintf(
-      name, sizeof(name), "%c%016llx", writes ? 'w' : 'r',
-      static_cast<unsigned long long>(XXH3_64bits(shape.data(), shape.size())));
-  return name;
-}
-
-}  // namespace
-
 void session_engine::StartAttempt() {
   if (!HasAccess()) {
     RefuseAccess();
@@ -121,9 +104,9 @@
   }
   if (current_.kind == statement_kind::kExecute) {
     const prepared_statement& prepared = prepared_.at(current_.name);
-    const std::string name = ServerName(prepared.writes, prepared.shape);
-    if (state.prepared.insert(name).second) {
-      codec.AppendPrepare(out, name, prepared.writes, prepared.shape);
+    if (state.prepared.insert(prepared.server_name).second) {
+      codec.AppendPrepare(out, prepared.server_name, prepared.writes,
+                          prepared.shape);
       commands += 1;
     }
   }
@@ -249,9 +232,8 @@
 void session_engine::AppendCurrent(std::string& out,
                                    std::optional<core::log_position> at_least) {
   if (current_.kind == statement_kind::kExecute) {
-    const prepared_statement& prepared = prepared_.at(current_.name);
     host_.Servers().AppendExecute(
-        out, current_, ServerName(prepared.writes, prepared.shape), at_least);
+        out, current_, prepared_.at(current_.name).server_name, at_least);
   } else {
     host_.Servers().AppendStatement(out, current_, at_least);
   }
--- a/plantaintiller/sessions/session_engine.cpp
+++ b/plantaintiller/sessions/session_engine.cpp
@@ -5,6 +5,7 @@
 
 #include "plantaintiller/accounts/key_digest.h"
 #include "plantaintiller/admission/group_admission.h"
+#include "plantaintiller/sessions/prepared_name.h"
 
 namespace plantaintiller::sessions {
 
@@ -161,7 +162,8 @@
       values_[request.name] = request.rest;
       break;
     case statement_kind::kPrepare:
-      prepared_[request.name] = {request.writes, request.rest};
+      prepared_[request.name] = {request.writes, request.rest,
+                                 PreparedName(request.writes, request.rest)};
       break;
     default:
       if (prepared_.erase(request.name) == 0) {
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -119,6 +119,7 @@
     bool writes = false;
     /// Text of the statement, as given to PREPARE.
     std::string shape;
+    std::string server_name;
   };
 
   void OnStart(const caller_message& message);
