Findings of the review of the fixes: repeated answers, age of a list, cover of a server that left

By reading, of an independent reviewer; each has a test that describes it.

- A second answer to BEGIN could begin no transaction, and what followed ran outside of one (TWICE, UNASKED): BEGIN that may be repeated is tested like a refusal, and a refused statement can't leave a transaction.
The test's own answer could be an old status: it is asked for once more; only a status has rows.
- The age of a list was counted from the processing of its answer, and stood still while the machine was suspended: it counts from the request for its first page, with the suspension.
- A commit that a draining server had confirmed itself covered it, if its entry had lapsed only by silence: it counts from 10 s after that on.
- A round in which a server did not tell whether it has a commit made leader reads fail for 200 ms.
- A commit whose server no longer leads is checked.

--- a/plantaintiller/gateway/gateway_state.cpp
+++ b/plantaintiller/gateway/gateway_state.cpp
@@ -32,6 +32,7 @@
       entry->state.EnableBalancing(XXH3_64bits(seed.data(), seed.size()),
                                    &balancing_reports_);
     }
+    entry->state.OnStoreHeard(store_read_at_);
     leader_controller_.Add(entry->state, entry->pool);
     leadership_checks_.Add(entry->state, entry->pool);
   }
@@ -84,7 +85,10 @@
 void gateway::implementation::OnServers(
     std::vector<replication::server_entry> servers,
     store::row_version version) {
-  OnStoreRead(core::clock::now());
+  for (const auto& [name, group] : groups_) {
+    group->state.OnListRead(watch_.ListAskedAt(), watch_.SuspendedWhenAsked());
+  }
+  OnStoreRead(watch_.ListAskedAt());
   if (version < list_version_) {
     // A peer's list has overtaken the answer.
     return;
@@ -122,7 +126,7 @@
 void gateway::implementation::OnStoreRead(core::time_point read_at) {
   store_read_at_ = std::max(store_read_at_, read_at);
   for (const auto& [name, group] : groups_) {
-    group->state.OnListCurrent(store_read_at_);
+    group->state.OnStoreHeard(store_read_at_);
   }
 }
 
--- a/plantaintiller/gateway/server_link.cpp
+++ b/plantaintiller/gateway/server_link.cpp
@@ -69,10 +69,11 @@
   void OnBytes();
   /// @param kind the command that was answered.
   void OnReply(sessions::command_kind kind, sessions::server_reply reply);
-  /// @return whether a refusal is kept until it is certain that it answers its
-  /// statement, or the link was closed because it can't be.
+  /// @return whether an answer is kept until it is certain that it answers its
+  /// command, or the link was closed because it can't be.
   bool KeepsForTest(sessions::command_kind kind,
                     const sessions::server_reply& reply);
+  void SendTest();
   void OnTested(const sessions::server_reply& reply);
   void Report(link_fault fault);
   /// Reports a fault and closes the link.
@@ -93,8 +94,10 @@
   std::string input_;
   sessions::server_reply partial_;
   sessions::answer_sequence sequence_;
-  /// Refusal that is passed on when the test behind it is answered.
-  std::optional<sessions::server_reply> kept_refusal_;
+  /// Answer that is passed on when the test behind it is answered.
+  std::optional<sessions::server_reply> kept_reply_;
+  /// Whether the test is repeated because its answer may be an earlier one.
+  bool tests_again_ = false;
   link_phase phase_ = link_phase::kOpening;
   bool started_ = false;
   bool cleaning_ = false;
@@ -213,7 +216,7 @@
     OnStarted(reply);
     return;
   }
-  if (kept_refusal_.has_value()) {
+  if (kept_reply_.has_value()) {
     OnTested(reply);
     return;
   }
@@ -237,10 +240,14 @@
 
 bool link_implementation::KeepsForTest(sessions::command_kind kind,
                                        const sessions::server_reply& reply) {
-  const bool is_unclear = !reply.succeeded && reply.may_be_repeated &&
-                          (kind == sessions::command_kind::kStatement ||
-                           kind == sessions::command_kind::kCommit);
-  if (!is_unclear) {
+  // An answer to BEGIN that is not its own would let writes run outside of the
+  // transaction.
+  const bool is_unclear =
+      reply.may_be_repeated &&
+      (reply.succeeded ? kind == sessions::command_kind::kBegin
+                       : kind == sessions::command_kind::kStatement ||
+                             kind == sessions::command_kind::kCommit);
+  if (!is_unclear || sequence_.Waiting() > 0) {
     return false;
   }
   if (sequence_.State() == sessions::session_state::kFailedTransaction) {
@@ -248,22 +255,32 @@
     EndFor(link_fault::kOutOfStep);
     return true;
   }
-  kept_refusal_ = reply;
+  kept_reply_ = reply;
+  tests_again_ = false;
+  SendTest();
+  return true;
+}
+
+void link_implementation::SendTest() {
   std::string out;
   codec_.AppendStatus(out);
   Send(out, {sessions::command_kind::kStatus});
-  return true;
 }
 
 void link_implementation::OnTested(const sessions::server_reply& reply) {
   if (!reply.succeeded) {
-    // It may be the refusal of the statement itself.
+    // It may be the refusal of the command itself.
     EndFor(link_fault::kOutOfStep);
     return;
   }
-  sessions::server_reply refusal = *std::exchange(kept_refusal_, std::nullopt);
+  if (reply.may_be_repeated && !std::exchange(tests_again_, true)) {
+    // The answer to the command still comes before that of the second test.
+    SendTest();
+    return;
+  }
+  sessions::server_reply kept = *std::exchange(kept_reply_, std::nullopt);
   if (reply_listener_ != nullptr) {
-    reply_listener_->OnReply(std::move(refusal));
+    reply_listener_->OnReply(std::move(kept));
   }
 }
 
@@ -294,7 +311,7 @@
 
 void link_implementation::Release(sessions::release_kind kind) {
   reply_listener_ = nullptr;
-  kept_refusal_.reset();
+  kept_reply_.reset();
   if (closed_) {
     return;
   }
--- a/plantaintiller/gateway/server_link.h
+++ b/plantaintiller/gateway/server_link.h
@@ -71,9 +71,10 @@
 };
 
 /// A connection to a backend server. Replies are matched to the commands by
-/// their order (`sessions::answer_sequence`). If a refusal may belong to an
-/// earlier statement, the link asks for the server's status before it passes
-/// the refusal on: an answer to the statement itself would arrive first.
+/// their order (`sessions::answer_sequence`). If a refusal, or the answer to
+/// BEGIN, may belong to an earlier command, the link asks for the server's
+/// status before it passes the answer on: that of the command itself would
+/// arrive first.
 class server_link : public sessions::server_connection,
                     public std::enable_shared_from_this<server_link> {
  public:
--- a/plantaintiller/gateway/store_watch.cpp
+++ b/plantaintiller/gateway/store_watch.cpp
@@ -172,6 +172,8 @@
   last_read_ = core::clock::now();
   if (from.empty()) {
     partial_servers_.clear();
+    list_asked_at_ = last_read_;
+    suspended_when_asked_ = core::SuspendedTime();
   }
   rows_.Read(
       codec_.ServerTable(), "", from,
--- a/plantaintiller/gateway/store_watch.h
+++ b/plantaintiller/gateway/store_watch.h
@@ -51,6 +51,10 @@
   void AdoptServers(const std::vector<replication::server_entry>& servers);
   /// Whether the last read of the list of servers failed.
   bool IsStoreUnavailable() const;
+  /// @return when the list that was read last was asked for.
+  core::time_point ListAskedAt() const { return list_asked_at_; }
+  /// @return how long the machine had been suspended by then.
+  core::duration SuspendedWhenAsked() const { return suspended_when_asked_; }
 
  private:
   void ReadRoutes();
@@ -77,6 +81,9 @@
   store::row_version route_version_ = 0;
   bool store_unavailable_ = false;
   core::time_point last_read_;
+  /// When the first page of the latest list was asked for.
+  core::time_point list_asked_at_;
+  core::duration suspended_when_asked_{0};
   core::time_point keep_missing_until_;
   /// Newest era of the store that was read; nothing before the first read.
   std::optional<std::uint64_t> era_;
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -123,9 +123,11 @@
   return has_list_ && !returns ? now : core::time_point{};
 }
 
-bool group_state::IsListCurrent(core::time_point now) const {
-  return list_read_at_ == core::time_point{} ||
-         now - list_read_at_ <= kMaxListAgeForChange;
+bool group_state::IsListCurrent(core::time_point now,
+                                core::duration suspended) const {
+  return list_asked_at_ == core::time_point{} ||
+         now - list_asked_at_ + suspended - list_suspended_ <=
+             kMaxListAgeForChange;
 }
 
 bool group_state::IsSettled(const std::string& server,
@@ -139,8 +141,8 @@
 bool group_state::CommitsNeedCheck(core::time_point now) const {
   const bool is_changing = change_announced_at_ != core::time_point{} &&
                            now - change_announced_at_ < kChangeNotice;
-  const bool is_isolated = list_read_at_ != core::time_point{} &&
-                           now - list_read_at_ > kIsolationAge;
+  const bool is_isolated = store_heard_at_ != core::time_point{} &&
+                           now - store_heard_at_ > kIsolationAge;
   return is_changing || is_isolated ||
          std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
            return each.first != leader_ && !IsSettled(each.first, now);
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -128,15 +128,22 @@
               const std::map<std::string, distance>& zones,
               core::time_point now);
 
-  /// Called when the list in use is known to have been current.
-  /// @param read_at time at which the store was read, by this instance or by
-  /// one that told it.
-  void OnListCurrent(core::time_point read_at) {
-    list_read_at_ = std::max(list_read_at_, read_at);
+  /// Called when this instance has read the list.
+  /// @param asked_at time at which it asked the store.
+  /// @param suspended how long the machine had been suspended by then.
+  void OnListRead(core::time_point asked_at, core::duration suspended) {
+    list_asked_at_ = asked_at;
+    list_suspended_ = suspended;
   }
-  /// @return whether the list is recent enough for a promotion; true if its age
-  /// is not known.
-  bool IsListCurrent(core::time_point now) const;
+  /// Called when this instance hears of a read of the store, its own or that of
+  /// another one.
+  void OnStoreHeard(core::time_point read_at) {
+    store_heard_at_ = std::max(store_heard_at_, read_at);
+  }
+  /// @return whether this instance has read the list recently enough for a
+  /// promotion; true if it has read none.
+  /// @param suspended how long the machine has been suspended by now.
+  bool IsListCurrent(core::time_point now, core::duration suspended) const;
   /// Called when some instance, this one included, changes the leader.
   void OnChangeAnnounced(core::time_point now) { change_announced_at_ = now; }
   /// @return whether a server was listed long enough that every instance which
@@ -304,7 +311,9 @@
   core::term_number confirmed_term_ = 0;
   core::time_point leader_seen_;
   bool has_list_ = false;
-  core::time_point list_read_at_;
+  core::time_point list_asked_at_;
+  core::duration list_suspended_{0};
+  core::time_point store_heard_at_;
   core::time_point change_announced_at_;
   /// Server that answered that it is not the leader while the list still named
   /// it as leader.
--- a/plantaintiller/replication/leadership_check.cpp
+++ b/plantaintiller/replication/leadership_check.cpp
@@ -271,7 +271,7 @@
   }
   if (failure != leadership_result::kUnproven) {
     failed_at_ = {};
-  } else if (!unasked_result_.has_value()) {
+  } else if (!unasked_result_.has_value() && !GatheredEvidence().has_value()) {
     failed_at_ = host_.Now();
   }
   running_ = false;
--- a/plantaintiller/replication/member_history.cpp
+++ b/plantaintiller/replication/member_history.cpp
@@ -38,7 +38,7 @@
 void member_history::OnCommitConfirmed(core::time_point sent) {
   for (auto& [key, each] : members_) {
     each.is_covered |= each.entry.draining && each.unlisted_since.has_value() &&
-                       *each.unlisted_since < sent;
+                       *each.unlisted_since + kLongestDrain < sent;
   }
 }
 
--- a/plantaintiller/replication/member_history.h
+++ b/plantaintiller/replication/member_history.h
@@ -42,6 +42,10 @@
     /// Whether a replica that remains has every commit that it confirmed.
     bool is_covered = false;
   };
+  /// Longest time for which a draining server goes on confirming after its
+  /// entry has gone, as it also goes if the server fails to reach the store.
+  static constexpr core::milliseconds kLongestDrain{10000};
+
   void Forget(core::time_point now);
 
   /// A server that restarted empty under its id is another member.
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -484,13 +484,15 @@
     QueryServers(step::kComparing);
     return;
   }
-  if (!group_.IsListCurrent(host_.Now())) {
+  if (!group_.IsListCurrent(host_.Now(), host_.SuspendedTime())) {
     // A server that has joined since may have confirmed commits.
-    if (++comparison_rounds_ <= kMaxComparisonRounds) {
-      QueryServers(step::kComparing);
+    if (host_.Now() - started_ > settings_.preparation_limit) {
+      RetryOrAbandon("list_outdated");
       return;
     }
-    RetryOrAbandon("list_outdated");
+    host_.RequestList();
+    step_ = step::kComparing;
+    host_.SetTimer(group_.Name(), settings_.list_pause);
     return;
   }
   if (leader_answered_ && MayUnheldServerConfirm() &&
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -180,6 +180,8 @@
   core::milliseconds longest_promotion{800};
   /// Pause before a step is retried.
   core::milliseconds retry_pause{100};
+  /// Pause in which a list that was asked for arrives.
+  core::milliseconds list_pause{30};
   /// Longest preparation before the holds are released.
   core::milliseconds preparation_limit{4000};
   /// Longest wait for an accepted promotion.
--- a/plantaintiller/sessions/answer_sequence.cpp
+++ b/plantaintiller/sessions/answer_sequence.cpp
@@ -40,14 +40,25 @@
 
 }  // namespace
 
+bool answer_sequence::FailureFits(command_kind kind,
+                                  session_state state) const {
+  if (state_ != session_state::kInTransaction) {
+    // A failure begins no transaction.
+    return state != session_state::kInTransaction;
+  }
+  // Only its end leaves a transaction, and a roll-back is not refused.
+  return kind != command_kind::kRollback &&
+         (kind == command_kind::kCommit || state != session_state::kIdle);
+}
+
 bool answer_sequence::Fits(const server_reply& reply) const {
   const command_kind kind = waiting_.front();
   if (!reply.succeeded) {
-    // A failure may end a transaction but never begins one.
-    return reply.state != session_state::kInTransaction ||
-           state_ == session_state::kInTransaction;
+    return FailureFits(kind, reply.state);
   }
-  const bool is_own = reply.receipt == kNoReceipt;
+  // Only the status has rows of its own.
+  const bool is_own = reply.receipt == kNoReceipt &&
+                      reply.rows.empty() == (kind != command_kind::kStatus);
   switch (kind) {
     case command_kind::kStart:
       return reply.receipt.empty() && reply.state == session_state::kIdle;
@@ -55,6 +66,7 @@
     case command_kind::kStatus:
       return is_own && reply.state == state_;
     case command_kind::kBegin:
+    case command_kind::kBeginReadOnly:
       return is_own && state_ == session_state::kIdle &&
              reply.state == session_state::kInTransaction;
     case command_kind::kRollback:
--- a/plantaintiller/sessions/answer_sequence.h
+++ b/plantaintiller/sessions/answer_sequence.h
@@ -18,6 +18,8 @@
   /// Sets or clears session values or prepared statements.
   kSetting,
   kBegin,
+  /// Begins a transaction that only reads.
+  kBeginReadOnly,
   kRollback,
   /// A caller's read or write.
   kStatement,
@@ -71,10 +73,12 @@
 
  private:
   /// Answers that are remembered: several seconds of a busy connection.
-  static constexpr std::size_t kMaxRemembered = 1024;
+  static constexpr std::size_t kMaxRemembered = 512;
 
   /// @return whether the first command that waits can have this answer.
   bool Fits(const server_reply& reply) const;
+  /// @return whether a refusal of a command can leave this state.
+  bool FailureFits(command_kind kind, session_state state) const;
   /// @return whether the answer was remembered already.
   bool Remember(const server_reply& reply);
 
--- a/plantaintiller/sessions/session_attempts.cpp
+++ b/plantaintiller/sessions/session_attempts.cpp
@@ -164,7 +164,8 @@
                                std::optional<core::log_position> at_least) {
   requested_position_ = at_least;
   host_.Servers().AppendBegin(out, read_only, at_least);
-  outstanding_.push_back(command_kind::kBegin);
+  outstanding_.push_back(read_only ? command_kind::kBeginReadOnly
+                                   : command_kind::kBegin);
   if (!keep_open) {
     host_.Servers().AppendRollback(out);
     outstanding_.push_back(command_kind::kRollback);
--- a/plantaintiller/sessions/session_leader_checks.cpp
+++ b/plantaintiller/sessions/session_leader_checks.cpp
@@ -78,7 +78,9 @@
   return CommitsWrites() &&
          (host_.Now() - sent_ > settings_.max_unchecked_commit ||
           group == nullptr || !group->CommitsProveLeadership() ||
-          group->CommitsNeedCheck(host_.Now()));
+          group->CommitsNeedCheck(host_.Now()) ||
+          // Another server has become the leader since it was sent.
+          group->Leader() != server_);
 }
 
 void session_engine::OnLeaderNotConfirmed() {
--- a/plantaintiller/sessions/session_replies.cpp
+++ b/plantaintiller/sessions/session_replies.cpp
@@ -52,6 +52,7 @@
       }
       break;
     case command_kind::kBegin:
+    case command_kind::kBeginReadOnly:
       if (!reply.succeeded) {
         begin_failed_ = true;
         begin_failure_ = reply.failure;
--- a/tests/gateway/server_link_test.cpp
+++ b/tests/gateway/server_link_test.cpp
@@ -200,6 +200,41 @@
   CHECK(test.listener.faults.empty());
 }
 
+// The second answer to an earlier BEGIN was taken for that of a later one,
+// which was refused: what followed ran outside of a transaction.
+TEST_CASE("server link: a second answer to BEGIN begins no transaction") {
+  acquired_link test;
+  const std::string begun = "COMPLETE -\r\nREADY T 1.1";
+  test.Exchange("QUERY - BEGIN", command_kind::kBegin, begun);
+  test.Exchange("QUERY - ROLLBACK", command_kind::kRollback,
+                "COMPLETE -\r\nREADY I 1.1");
+  test.Send("QUERY - BEGIN", command_kind::kBegin);
+  test.Answer(begun);
+  CHECK(test.TakeLine() == "QUERY - PAUSE 0");
+  test.Answer("ERROR BUSY full\r\nREADY I 1.1");
+  test.RunUntil([&] { return test.listener.closed == 1; });
+  CHECK(test.session.replies == 2);
+}
+
+// The answer to an earlier status query was taken for that of the test.
+TEST_CASE("server link: a test that is answered as before is repeated") {
+  acquired_link test;
+  const std::string refusal = "ERROR BUSY full\r\nREADY I 1.1";
+  const std::string status =
+      "DATAROW primary 1 1.1 0 0 1 1\r\nCOMPLETE -\r\nREADY I 1.1";
+  test.Exchange("QUERY - PAUSE 0", command_kind::kStatus, status);
+  test.Exchange("QUERY 1 WRITE a 1", command_kind::kStatement, refusal);
+  test.Send("QUERY 2 WRITE b 1", command_kind::kStatement);
+  test.Answer(refusal);
+  CHECK(test.TakeLine() == "QUERY - PAUSE 0");
+  test.Answer(status);
+  CHECK(test.TakeLine() == "QUERY - PAUSE 0");
+  CHECK(test.session.replies == 2);
+  test.Answer("COMPLETE r.2\r\nREADY I 1.2");
+  test.RunUntil([&] { return test.listener.closed == 1; });
+  CHECK(test.session.replies == 2);
+}
+
 // A second answer that came while a connection was idle closed it.
 TEST_CASE("server link: a second answer between two sessions does no harm") {
   acquired_link test;
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -57,6 +57,10 @@
                        "--calm")
         self.assertEqual(run.returncode, 0, run.stdout + run.stderr)
 
+    def test_promises_hold_under_faults_with_answers_that_are_sent_twice(self):
+        run = run_soak("--seeds", "104:2", "--seconds", "8", "--repeated", "0.02")
+        self.assertEqual(run.returncode, 0, run.stdout + run.stderr)
+
     def test_servers_that_ignore_positions_are_found(self):
         run = run_soak("--seeds", "1:1", "--seconds", "8", "--planted", "positions")
         self.assertEqual(run.returncode, 1, run.stdout + run.stderr)
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -244,17 +244,29 @@
 
 // An instance that is cut off from the store and from the others hears of no
 // change and of no server that joins.
-TEST_CASE("group_state: commits are checked while the list is outdated") {
+TEST_CASE(
+    "group_state: commits are checked while no read of the store is heard") {
   group_fixture fixture;
-  fixture.group.OnListCurrent(fixture.now);
+  fixture.group.OnStoreHeard(fixture.now);
   fixture.now += group_state::kIsolationAge;
   CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
-  CHECK_FALSE(fixture.group.IsListCurrent(fixture.now));
   fixture.now += milliseconds(1);
   CHECK(fixture.group.CommitsNeedCheck(fixture.now));
-  fixture.group.OnListCurrent(fixture.now);
+  fixture.group.OnStoreHeard(fixture.now);
   CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
-  CHECK(fixture.group.IsListCurrent(fixture.now));
+}
+
+// A machine that was suspended took a list that it had read before for a
+// current one.
+TEST_CASE("group_state: a list ages while the machine is suspended") {
+  group_fixture fixture;
+  const milliseconds limit = group_state::kMaxListAgeForChange;
+  fixture.group.OnListRead(fixture.now, milliseconds(500));
+  CHECK(fixture.group.IsListCurrent(fixture.now + limit, milliseconds(500)));
+  CHECK_FALSE(fixture.group.IsListCurrent(fixture.now + limit + milliseconds(1),
+                                          milliseconds(500)));
+  CHECK_FALSE(
+      fixture.group.IsListCurrent(fixture.now, milliseconds(501) + limit));
 }
 
 }  // namespace plantaintiller::replication
--- a/tests/replication/member_history_test.cpp
+++ b/tests/replication/member_history_test.cpp
@@ -48,12 +48,13 @@
   history.OnList("g", {Server("a"), Server("b", true)}, kStart);
   history.OnList("g", {Server("a")}, left);
   CHECK(Ids(history) == std::vector<std::string>{"a", "b"});
-  // Sent while "b" may still have confirmed it.
-  history.OnCommitConfirmed(left - milliseconds(1));
-  history.OnList("g", {Server("a")}, left + milliseconds(1000));
+  // Sent while "b" may still have confirmed it: its entry also lapses if it
+  // only fails to reach the store.
+  history.OnCommitConfirmed(left + milliseconds(10000));
+  history.OnList("g", {Server("a")}, left + milliseconds(10100));
   CHECK(Ids(history) == std::vector<std::string>{"a", "b"});
-  history.OnCommitConfirmed(left + milliseconds(1001));
-  history.OnList("g", {Server("a")}, left + milliseconds(2000));
+  history.OnCommitConfirmed(left + milliseconds(10001));
+  history.OnList("g", {Server("a")}, left + milliseconds(10200));
   CHECK(Ids(history) == std::vector<std::string>{"a"});
 }
 
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -356,13 +356,14 @@
   change_fixture world;
   world.draining.insert("a");
   world.List();
-  world.group.OnListCurrent(world.now - group_state::kMaxListAgeForChange);
+  world.group.OnListRead(world.now - group_state::kMaxListAgeForChange,
+                         core::duration(0));
   world.now += milliseconds(1);
   world.change->Start(change_reason::kLeaving);
   world.Run(milliseconds(1000));
   CHECK(world.orders.empty());
   CHECK(world.list_requests > 0);
-  world.group.OnListCurrent(world.now);
+  world.group.OnListRead(world.now, core::duration(0));
   world.Run(milliseconds(200));
   CHECK(!world.orders.empty());
 }
--- a/tests/sessions/answer_sequence_test.cpp
+++ b/tests/sessions/answer_sequence_test.cpp
@@ -176,6 +176,33 @@
         answer_match::kOutOfStep);
 }
 
+TEST_CASE("answer sequence: a refused statement leaves no transaction") {
+  const auto match = [](command_kind kind, session_state state) {
+    answer_sequence sequence;
+    server_reply begun;
+    begun.succeeded = true;
+    begun.receipt = "-";
+    begun.state = session_state::kInTransaction;
+    sequence.OnSent(command_kind::kBegin);
+    CHECK(sequence.OnAnswer(begun) == answer_match::kAnswer);
+    sequence.OnSent(kind);
+    server_reply refused;
+    refused.failure_text = "BUSY full";
+    refused.state = state;
+    return sequence.OnAnswer(refused);
+  };
+  using state = session_state;
+  CHECK(match(command_kind::kStatement, state::kIdle) ==
+        answer_match::kOutOfStep);
+  CHECK(match(command_kind::kStatement, state::kInTransaction) ==
+        answer_match::kAnswer);
+  CHECK(match(command_kind::kStatement, state::kFailedTransaction) ==
+        answer_match::kAnswer);
+  CHECK(match(command_kind::kCommit, state::kIdle) == answer_match::kAnswer);
+  CHECK(match(command_kind::kRollback, state::kIdle) ==
+        answer_match::kOutOfStep);
+}
+
 TEST_CASE("answer sequence: an answer without a command is unexpected") {
   answer_sequence sequence;
   server_reply reply;
