--- a/plantaintiller/core/time.cpp
+++ b/plantaintiller/core/time.cpp
@@ -4,6 +4,11 @@
 
 namespace plantaintiller::core {
 
+milliseconds UnixTime() {
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 namespace {
 
 duration ReadClock(clockid_t id) {
--- a/plantaintiller/core/time.h
+++ b/plantaintiller/core/time.h
@@ -17,6 +17,10 @@
   return std::chrono::duration_cast<milliseconds>(value);
 }
 
+/// @return the time of day in Unix milliseconds. It may jump, and differs
+/// between machines.
+milliseconds UnixTime();
+
 /// @return how long this machine has been suspended since it was started. The
 /// monotonic clock does not count that time.
 duration SuspendedTime();
--- a/plantaintiller/gateway/event_log.cpp
+++ b/plantaintiller/gateway/event_log.cpp
@@ -34,12 +34,6 @@
   }
 }
 
-std::int64_t UnixMilliseconds() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 class event_log::implementation {
@@ -157,7 +151,7 @@
   text_ += " event=";
   text_ += event;
   kind_size_ = text_.size();
-  With("time", UnixMilliseconds());
+  With("time", core::UnixTime().count());
 }
 
 log_line::~log_line() {
--- a/plantaintiller/gateway/gateway_state.cpp
+++ b/plantaintiller/gateway/gateway_state.cpp
@@ -252,7 +252,7 @@
   const core::time_point now = core::clock::now();
   for (const auto& [name, group] : groups_) {
     const std::string before = group->state.Leader();
-    group->state.OnList(by_group[name], distances, now);
+    group->state.OnList(by_group[name], distances, now, core::UnixTime());
     if (group->state.Leader() != before) {
       log_line(log_, "groups", "leader")
           .With("group", name)
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -63,7 +63,8 @@
 
 void group_state::OnList(const std::vector<server_entry>& listed,
                          const std::map<std::string, distance>& zones,
-                         core::time_point now) {
+                         core::time_point now,
+                         core::milliseconds unix_now) {
   std::map<std::string, server> next;
   std::string reported;
   int leaders = 0;
@@ -79,7 +80,7 @@
     const bool is_new =
         known == servers_.end() || known->second.entry.born_ms != entry.born_ms;
     if (is_new) {
-      updated.listed_since = ListedSince(entry, now);
+      updated.listed_since = ListedSince(entry, now, unix_now);
     }
     updated.entry = entry;
     const auto zone = zones.find(entry.zone);
@@ -116,11 +117,15 @@
 }
 
 core::time_point group_state::ListedSince(const server_entry& entry,
-                                          core::time_point now) const {
+                                          core::time_point now,
+                                          core::milliseconds unix_now) const {
   const auto removed = removed_.find(entry.id);
   const bool returns = removed != removed_.end() &&
                        removed->second.entry.born_ms == entry.born_ms;
-  return has_list_ && !returns ? now : core::time_point{};
+  const bool is_old =
+      unix_now.count() == 0 ||
+      unix_now - core::milliseconds(entry.born_ms) >= kSettledAge;
+  return returns || (!has_list_ && is_old) ? core::time_point{} : now;
 }
 
 bool group_state::IsListCurrent(core::time_point now,
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -59,8 +59,8 @@
     int failures = 0;
     /// Time at which the request that failed first was sent.
     core::time_point first_failure_sent;
-    /// Time since which it is listed; the epoch if it was listed at the start
-    /// of this instance or before it was last seen to leave.
+    /// Time since which it is listed; the epoch if it started long before this
+    /// instance did, or was listed before it was last seen to leave.
     core::time_point listed_since;
     /// Time since which it is not listed. An unlisted leader is kept for a
     /// while, as long as it answers, until another server is the leader.
@@ -81,6 +81,9 @@
   /// Time after which a listed server is known to whoever changes the leader:
   /// the age of the list that a change may rely on, with a read and its answer.
   static constexpr core::milliseconds kSettlingTime{3000};
+  /// Age from which on a server in the first list of an instance is settled: as
+  /// above, and by how much clocks may differ.
+  static constexpr core::milliseconds kSettledAge{15000};
   /// How long an announced change of the leader is expected to go on: a claim
   /// is valid for as long.
   static constexpr core::milliseconds kChangeNotice{2500};
@@ -124,9 +127,11 @@
   /// Replaces the servers by those of a newer list.
   /// @param listed servers of all groups; those of other groups are ignored.
   /// @param zones distance of each availability zone.
+  /// @param unix_now time of day; 0 if it is not known.
   void OnList(const std::vector<server_entry>& listed,
               const std::map<std::string, distance>& zones,
-              core::time_point now);
+              core::time_point now,
+              core::milliseconds unix_now = core::milliseconds(0));
 
   /// Called when this instance has read the list.
   /// @param asked_at time at which it asked the store.
@@ -289,7 +294,8 @@
       std::optional<core::log_position> needed) const;
   void SetLeader(const std::string& server, core::time_point now);
   core::time_point ListedSince(const server_entry& entry,
-                               core::time_point now) const;
+                               core::time_point now,
+                               core::milliseconds unix_now) const;
   void KeepUnlistedLeader(std::map<std::string, server>& next,
                           core::time_point now) const;
   void ListBalancedServers(core::time_point now);
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -277,6 +277,10 @@
       leader_stays && StatusOf(old_leader_)->term >= hold_term_;
   const bool releases_unfenced =
       releasing_holds_ && settings_.fencing && !is_fenced_;
+  if (IsOutstandingSilent()) {
+    RetryOrAbandon("candidate_silent");
+    return;
+  }
   if (NeedsFence() || (releases_unfenced && leader_answered_)) {
     Fence();
     return;
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -356,6 +356,9 @@
   /// @return whether a promotion that got no answer may still be carried out at
   /// a server other than the present leader.
   bool IsPromotionOutstanding() const;
+  /// @return whether a listed server of such a promotion has not answered this
+  /// once, so that it is not known whether it has everything.
+  bool IsOutstandingSilent() const;
   /// @return whether such a promotion does harm and can be fenced off.
   bool NeedsFence() const;
   /// @return the server of an outstanding promotion that still has the log that
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Rounds that may fail before an outstanding candidate that has everything is
+/// given up for a fence.
+constexpr int kMaxCandidateRounds = 3;
 /// Calls for one promotion before its preparation is repeated.
 constexpr int kMaxPromoteTries = 6;
 /// Checks for the new leader between two rounds of holds. The holds are
@@ -292,7 +295,7 @@
 }
 
 std::optional<std::string> primary_change::IntactOutstandingCandidate() const {
-  if (settings_.fencing && failed_rounds_ > 0) {
+  if (settings_.fencing && failed_rounds_ > kMaxCandidateRounds) {
     return std::nullopt;
   }
   for (const auto& [server, order] : outstanding_) {
@@ -320,6 +323,17 @@
           }));
 }
 
+bool primary_change::IsOutstandingSilent() const {
+  return settings_.fencing && leader_answered_ && failed_rounds_ == 0 &&
+         !IntactOutstandingCandidate().has_value() &&
+         std::any_of(outstanding_.begin(), outstanding_.end(),
+                     [this](const auto& each) {
+                       return each.first != old_leader_ &&
+                              group_.Find(each.first) != nullptr &&
+                              StatusOf(each.first) == nullptr;
+                     });
+}
+
 bool primary_change::NeedsFence() const {
   return settings_.fencing && leader_answered_ && IsPromotionOutstanding() &&
          !IntactOutstandingCandidate().has_value() &&
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -219,6 +219,22 @@
   CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
 }
 
+// An instance that had just started took a server that had just joined for one
+// that all others know.
+TEST_CASE("group_state: a young server in the first list is not settled") {
+  const core::time_point now{std::chrono::hours(1)};
+  const milliseconds unix_now{std::chrono::hours(2)};
+  server_entry young = Entry("b", "near", false);
+  young.born_ms = unix_now.count() - 1000;
+  server_entry old = Entry("c", "near", false);
+  old.born_ms = unix_now.count() - 60000;
+  group_state group{"g"};
+  group.OnList({Entry("a", "near", true), young, old}, kZones, now, unix_now);
+  CHECK_FALSE(group.IsSettled("b", now));
+  CHECK(group.IsSettled("c", now));
+  CHECK(group.CommitsNeedCheck(now));
+}
+
 TEST_CASE("group_state: a listed server that lapsed and returned is settled") {
   group_fixture fixture;
   fixture.List({Entry("a", "near", true), Entry("c", "far", false)});
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -292,6 +292,23 @@
   }
 }
 
+// One missed answer led to the fence, too.
+TEST_CASE(
+    "primary_change: a candidate that missed one query is not fenced off") {
+  change_fixture world;
+  world.SetClaimOfOther(7, world.StoreNow() - milliseconds(2600));
+  world.row.candidates.emplace();
+  (*world.row.candidates)["c"] = world.StoreNow() - milliseconds(2000);
+  world.unreachable = {"c"};
+  world.change->Start(change_reason::kUnresponsive);
+  world.Run(milliseconds(60));
+  CHECK(world.orders.empty());
+  world.unreachable.clear();
+  world.Run(milliseconds(300));
+  REQUIRE(!world.orders.empty());
+  CHECK(world.orders[0].server == "c");
+}
+
 // An instance that took over from the holder of a fence did not know of it.
 TEST_CASE("primary_change: the row names the server of a fence") {
   change_fixture world;
