Model of primary changes: servers join and leave, instances restart

With membership_changes, commits are acknowledged once an instance passes them on, as sessions do. Runs without the setting stay as they were.

--- a/plantaintiller/model/change_faults.cpp
+++ b/plantaintiller/model/change_faults.cpp
@@ -13,6 +13,9 @@
                       [this, id] { Find(id)->listed = Find(id)->alive; });
   queue.ScheduleAfter(span, [this, id, empty] {
     change_server* restarted = Find(id);
+    if (restarted->gone) {
+      return;
+    }
     restarted->alive = true;
     restarted->listed = true;
     restarted->held_term = 0;
@@ -34,8 +37,12 @@
 }
 
 void change_simulation::InjectRandomFault() {
-  change_server& server =
-      servers[static_cast<std::size_t>(DrawUpTo(settings.servers - 1))];
+  if (settings.membership_changes && DrawPercent(50)) {
+    InjectMembershipFault();
+    return;
+  }
+  change_server& server = servers[static_cast<std::size_t>(
+      DrawUpTo(static_cast<int>(servers.size()) - 1))];
   change_instance& instance =
       *instances[static_cast<std::size_t>(DrawUpTo(settings.instances - 1))];
   const milliseconds span(800 + DrawUpTo(6000));
@@ -49,7 +56,10 @@
   const int kind = settings.planned_changes_only ? 0 : DrawUpTo(last_kind);
   switch (kind) {
     case 0:
-      if (change_server* leader = Leader()) {
+      if (change_server* leader = Leader();
+          leader != nullptr && settings.membership_changes) {
+        Replace(leader->id);
+      } else if (leader != nullptr) {
         LogFault("leader " + leader->id + " drains");
         leader->draining = true;
         queue.ScheduleAfter(milliseconds(9000), [this, id = leader->id] {
@@ -89,8 +99,10 @@
     case 6:
       LogFault(instance.settings.holder + " cut off from " + server.id);
       instance.unreachable_servers.insert(server.id);
-      queue.ScheduleAfter(span, [&instance, id = server.id] {
-        instance.unreachable_servers.erase(id);
+      queue.ScheduleAfter(span, [this, number = instance.number,
+                                 id = server.id] {
+        instances[static_cast<std::size_t>(number)]->unreachable_servers.erase(
+            id);
       });
       break;
     case 10:
--- a/plantaintiller/model/change_instance.cpp
+++ b/plantaintiller/model/change_instance.cpp
@@ -10,9 +10,14 @@
 using core::milliseconds;
 using replication::group_claim;
 
-change_instance::change_instance(change_simulation& simulated, int index)
-    : simulated_world(simulated), number(index) {
+change_instance::change_instance(change_simulation& simulated,
+                                 int index,
+                                 int life_number)
+    : simulated_world(simulated), number(index), life(life_number) {
   settings.holder = "instance-" + std::to_string(index);
+  if (life > 0) {
+    settings.holder += "." + std::to_string(life);
+  }
   settings.injected_defects = simulated.settings.defects;
   settings.fencing = simulated.settings.fencing;
   group.SetConfirmingReplicas(1);
@@ -51,11 +56,16 @@
       simulated_world.DrawLatency(), [this, done] {
         group_claim seen = simulated_world.stored_claim;
         seen.era = simulated_world.store_era;
+        const auto members = simulated_world.members_row.members;
         const auto now = core::ToMilliseconds(Now().time_since_epoch());
         simulated_world.queue.ScheduleAfter(
-            simulated_world.DrawLatency(), [this, done, seen, now] {
-              simulated_world.Deliver(*this,
-                                      [done, seen, now] { done(seen, now); });
+            simulated_world.DrawLatency(), [this, done, seen, now, members] {
+              simulated_world.Deliver(*this, [this, done, seen, now, members] {
+                for (const replication::server_entry& each : members) {
+                  group.OnRecordedMember(each, Now());
+                }
+                done(seen, now);
+              });
             });
       });
 }
@@ -253,95 +263,4 @@
   });
 }
 
-void change_instance::CheckLeader() {
-  const std::string leader = group.Leader();
-  if (!leader.empty()) {
-    change_server* server = simulated_world.Find(leader);
-    const bool answers = server != nullptr && server->alive && Reaches(leader);
-    if (!answers) {
-      group.OnUnresponsive(leader, Now(), Now());
-    } else if (server->is_leader) {
-      group.OnSuccess(leader);
-      StartRead(leader);
-    } else {
-      group.OnNotLeader(leader, Now());
-    }
-  }
-  const auto reason = monitor.ChangeNeeded(group, Now());
-  if (reason.has_value() && !change->IsActive() && Now() >= earliest_change) {
-    earliest_change = Now() + milliseconds(400);
-    change->Start(*reason);
-  }
-}
-
-void change_instance::StartRead(const std::string& leader) {
-  const auto read = std::make_shared<leader_read>(*this, leader);
-  reads_.push_back(read);
-  check->Request(leader, *read);
-  simulated_world.queue.ScheduleAfter(simulated_world.DrawReadLatency(),
-                                      [read] { read->OnRun(); });
-  // Every check has ended by then.
-  simulated_world.queue.ScheduleAfter(milliseconds(2000), [this, read] {
-    check->Cancel(*read);
-    std::erase(reads_, read);
-  });
-}
-
-change_instance::leader_read::leader_read(change_instance& owner,
-                                          std::string server)
-    : owner_(owner),
-      server_(std::move(server)),
-      sent_(owner.Now()),
-      acknowledged_(owner.simulated_world.acknowledged_in_order.size()) {}
-
-void change_instance::leader_read::OnRun() {
-  const change_server* server = owner_.simulated_world.Find(server_);
-  if (server == nullptr || !server->alive || !owner_.Reaches(server_)) {
-    return;
-  }
-  has_run_ = true;
-  position_ = server->Position();
-  is_complete_ = owner_.simulated_world.HasCommits(*server, acknowledged_);
-  UseAnswer();
-}
-
-void change_instance::leader_read::OnLeadershipChecked(
-    replication::leadership_result result) {
-  is_confirmed_ = result == replication::leadership_result::kConfirmed;
-  UseAnswer();
-}
-
-void change_instance::leader_read::UseAnswer() {
-  if (!has_run_ || !is_confirmed_) {
-    return;
-  }
-  owner_.simulated_world.result.reads += 1;
-  if (!is_complete_) {
-    owner_.simulated_world.ReportViolation("stale read at " + server_ + " by " +
-                                           owner_.settings.holder);
-  }
-  owner_.group.Proofs().OnProof(sent_, position_);
-}
-
-void change_instance::ReadList() {
-  if (store_unreachable) {
-    return;
-  }
-  std::vector<replication::server_entry> listed;
-  for (const change_server& each : simulated_world.servers) {
-    if (!each.listed) {
-      continue;
-    }
-    replication::server_entry entry;
-    entry.id = each.id;
-    entry.group = kChangeGroup;
-    entry.zone = "z";
-    entry.draining = each.draining;
-    entry.reports_leader = each.is_leader && each.alive;
-    entry.born_ms = each.incarnation;
-    listed.push_back(entry);
-  }
-  group.OnList(listed, {{"z", replication::distance::kSameZone}}, Now());
-}
-
 }  // namespace plantaintiller::model
--- a/plantaintiller/model/change_simulation.cpp
+++ b/plantaintiller/model/change_simulation.cpp
@@ -63,6 +63,9 @@
 
 void change_simulation::Deliver(change_instance& to,
                                 std::function<void()> task) {
+  if (to.ended) {
+    return;
+  }
   queue.ScheduleAfter(DrawProcessLag(), [this, &to, task = std::move(task)] {
     RunWhenAwake(to, task);
   });
@@ -70,6 +73,9 @@
 
 void change_simulation::RunWhenAwake(change_instance& to,
                                      std::function<void()> task) {
+  if (to.ended) {
+    return;
+  }
   if (!to.frozen) {
     task();
     return;
@@ -79,69 +85,6 @@
   });
 }
 
-void change_simulation::Commit() {
-  queue.ScheduleAfter(settings.commit_interval, [this] { Commit(); });
-  for (change_server& each : servers) {
-    if (each.is_leader && each.alive) {
-      CommitAt(each);
-    }
-  }
-}
-
-void change_simulation::CommitAt(change_server& leader) {
-  const auto waiting = std::count_if(
-      unconfirmed_writes.begin(), unconfirmed_writes.end(),
-      [&](const auto& each) { return each.second.leader == leader.id; });
-  if (waiting > 3) {
-    return;
-  }
-  const int write = next_write++;
-  leader.log.push_back({leader.term, write});
-  unconfirmed_writes[write] = {leader.id, leader.log.size()};
-  for (const change_server& each : servers) {
-    if (&each != &leader) {
-      queue.ScheduleAfter(
-          each.replication_lag + DrawLatency(),
-          [this, from = leader.id, to = each.id] { Replicate(from, to); });
-    }
-  }
-}
-
-void change_simulation::Replicate(const std::string& from,
-                                  const std::string& to) {
-  change_server* leader = Find(from);
-  change_server* replica = Find(to);
-  const bool receives = leader->is_leader && leader->alive && replica->alive &&
-                        !replica->is_leader && replica->held_term == 0 &&
-                        replica->term == leader->term &&
-                        replica->side == leader->side && leader == Leader();
-  if (!receives) {
-    return;
-  }
-  replica->log = leader->log;
-  std::vector<int> confirmed;
-  for (const auto& [write, each] : unconfirmed_writes) {
-    if (each.leader == from && each.size <= replica->log.size() &&
-        replica->log[each.size - 1].write == write) {
-      confirmed.push_back(write);
-    }
-  }
-  for (const int write : confirmed) {
-    Acknowledge(write);
-  }
-}
-
-void change_simulation::Acknowledge(int write) {
-  acknowledged_in_order.emplace_back(write, unconfirmed_writes[write].size);
-  unconfirmed_writes.erase(write);
-  acknowledged.insert(write);
-  result.acknowledged += 1;
-  result.longest_commit_gap =
-      std::max(result.longest_commit_gap,
-               core::ToMilliseconds(queue.Now() - last_acknowledged));
-  last_acknowledged = queue.Now();
-}
-
 void change_simulation::ExecuteCommand(change_server& server,
                                        replication::server_command command,
                                        core::term_number term) {
@@ -153,6 +96,7 @@
   } else if (command == replication::server_command::kDemote &&
              server.is_leader && term > server.term) {
     server.is_leader = false;
+    server.demoted = true;
     Trace(server.id + " demoted");
   } else if (command == replication::server_command::kResume) {
     server.held_term = 0;
@@ -201,7 +145,7 @@
   for (const int write : acknowledged) {
     if (!chosen_writes.contains(write)) {
       ReportViolation("acknowledged write " + std::to_string(write) +
-                      " is missing at " + id);
+                      " is missing at " + id + passed_on[write]);
       break;
     }
   }
@@ -221,8 +165,14 @@
   for (change_server& each : servers) {
     each.is_leader = false;
     each.held_term = 0;
-    if (each.alive) {
-      each.term = highest_term + 1;
+    each.demoted = false;
+    if (!each.alive) {
+      continue;
+    }
+    each.term = highest_term + 1;
+    if (settings.membership_changes && each.Lags()) {
+      each.RollBackTo(chosen->log);
+    } else {
       each.log = chosen->log;
     }
   }
@@ -306,33 +256,44 @@
   result.faults.push_back(result.trace.back());
 }
 
-void change_simulation::Trace(const std::string& text) {
+std::string change_simulation::TimeOfRun() const {
   const auto at = core::ToMilliseconds(queue.Now().time_since_epoch()) -
                   milliseconds(std::chrono::hours(1));
-  result.trace.push_back(std::to_string(at.count()) + " ms: " + text);
+  return std::to_string(at.count()) + " ms";
+}
+
+void change_simulation::Trace(const std::string& text) {
+  result.trace.push_back(TimeOfRun() + ": " + text);
+}
+
+void change_simulation::CheckLeaderRepeatedly(change_instance& each) {
+  if (each.ended) {
+    return;
+  }
+  Deliver(each, [&each] { each.CheckLeader(); });
+  queue.ScheduleAfter(milliseconds(90 + DrawUpTo(30)),
+                      [this, &each] { CheckLeaderRepeatedly(each); });
+}
+
+void change_simulation::ReadListRepeatedly(change_instance& each) {
+  if (each.ended) {
+    return;
+  }
+  Deliver(each, [&each] { each.ReadList(); });
+  queue.ScheduleAfter(milliseconds(1000),
+                      [this, &each] { ReadListRepeatedly(each); });
 }
 
 change_world_result change_simulation::Run() {
-  std::function<void(change_instance&)> check_leader =
-      [&](change_instance& each) {
-        Deliver(each, [&each] { each.CheckLeader(); });
-        queue.ScheduleAfter(milliseconds(90 + DrawUpTo(30)),
-                            [&check_leader, &each] { check_leader(each); });
-      };
-  std::function<void(change_instance&)> read_list = [&](change_instance& each) {
-    Deliver(each, [&each] { each.ReadList(); });
-    queue.ScheduleAfter(milliseconds(1000),
-                        [&read_list, &each] { read_list(each); });
-  };
   if (settings.old_leader_goes_on) {
     FollowRepeatedly();
   }
   for (auto& each : instances) {
     each->ReadList();
     queue.ScheduleAfter(milliseconds(DrawUpTo(100)),
-                        [&check_leader, &each] { check_leader(*each); });
+                        [this, &each] { CheckLeaderRepeatedly(*each); });
     queue.ScheduleAfter(milliseconds(DrawUpTo(1000)),
-                        [&read_list, &each] { read_list(*each); });
+                        [this, &each] { ReadListRepeatedly(*each); });
   }
   Commit();
   for (int n = 0; n < settings.fault_count; ++n) {
--- a/plantaintiller/model/change_simulation.h
+++ b/plantaintiller/model/change_simulation.h
@@ -47,8 +47,14 @@
   core::milliseconds DrawProcessLag();
 
   void RunWhenAwake(change_instance& to, std::function<void()> task);
+  /// Lets an instance look at the leader, or read the list, again and again.
+  void CheckLeaderRepeatedly(change_instance& each);
+  void ReadListRepeatedly(change_instance& each);
+
   void Commit();
   void CommitAt(change_server& leader);
+  /// Sends the leader's log to the servers that receive.
+  void SendLog(const change_server& leader);
   void Replicate(const std::string& from, const std::string& to);
   void ExecuteCommand(change_server& server,
                       replication::server_command command,
@@ -76,10 +82,41 @@
   /// Replaces the store's row by its state of some seconds ago.
   void RestoreOlderStore();
   void Crash(change_server& server, core::milliseconds span, bool empty);
-  void Acknowledge(int write);
+  void Acknowledge(int write, std::size_t size);
+
+  /// @return an instance that sends a commit to a leader; null if there is none
+  /// that can.
+  change_instance* DrawSender(const std::string& leader);
+  /// Called when a client no longer waits for a commit.
+  void OnCommitTimeout(int write);
+  /// Delivers the answer to a commit that a replica has confirmed.
+  void AnswerCommit(int write, const std::string& replica);
+  /// Called when an instance has passed on the answer to a commit.
+  /// @param how description of the commit for a violation.
+  void OnCommitPassedOn(const sent_commit& commit, const std::string& how);
+
+  void InjectMembershipFault();
+  /// Replaces a server as planned: a new one starts, the old one drains and
+  /// leaves. Nothing if a replacement is in progress.
+  /// @param old its id, by value because the call adds a server.
+  void Replace(std::string old);
+  void Leave(const std::string& id);
+  /// Lets replicas that stay receive nothing for a while.
+  void DeafenReplicas(core::milliseconds span);
+  /// Ends the process of an instance and starts another one after a while.
+  void RestartInstance(int number);
+  void RestartInstancesInTurn();
+  /// Called when an instance has claimed a change.
+  void OnChangeClaimed();
+  /// Delivers the announcement of a change to the other instances.
+  void Announce(const change_instance& from);
+  /// @return the entries of the list of servers.
+  std::vector<replication::server_entry> ListedServers() const;
   void ReportViolation(const std::string& text);
   void LogFault(const std::string& text);
   void Trace(const std::string& text);
+  /// @return the time since the start of the run.
+  std::string TimeOfRun() const;
 
   const change_world_settings& settings;
   std::mt19937_64 random;
@@ -88,6 +125,11 @@
   event_queue queue;
   std::vector<change_server> servers;
   std::vector<std::unique_ptr<change_instance>> instances;
+  /// Instances whose processes have ended.
+  std::vector<std::unique_ptr<change_instance>> ended_instances;
+  /// Row of the store that names the members of the group.
+  recorded_members members_row;
+  bool is_replacing = false;
   replication::group_claim stored_claim;
   /// Earlier states of the row with the times at which they were written.
   std::vector<std::pair<core::time_point, replication::group_claim>>
@@ -99,12 +141,10 @@
   /// Share of the promotions that are held up on their way to the platform.
   int held_promotion_percent = 0;
   int next_write = 1;
-  struct unconfirmed_write {
-    std::string leader;
-    std::size_t size = 0;
-  };
-  std::map<int, unconfirmed_write> unconfirmed_writes;
+  std::map<int, sent_commit> unconfirmed_writes;
   std::set<int> acknowledged;
+  /// How each acknowledged commit was confirmed and passed on.
+  std::map<int, std::string> passed_on;
   /// Acknowledged commits with the sizes of the log up to them.
   std::vector<std::pair<int, std::size_t>> acknowledged_in_order;
   std::uint64_t highest_sent_token = 0;
--- a/plantaintiller/model/change_world.h
+++ b/plantaintiller/model/change_world.h
@@ -11,6 +11,15 @@
 
 namespace plantaintiller::model {
 
+/// Defects of simulated instances that tests inject to verify that the checks
+/// find them. They stand for former defects of code that the model replaces.
+struct injected_instance_defects {
+  /// Removes a server that left as planned from the recorded members at once.
+  bool forget_left_members = false;
+  /// Passes on every confirmed commit without a check.
+  bool pass_on_unchecked = false;
+};
+
 /// Parameters of a simulation of primary changes.
 struct change_world_settings {
   /// Number of entry instances.
@@ -39,10 +48,18 @@
   /// Whether the faults include links that hold up promotions on their way to
   /// the platform.
   bool held_promotions = false;
+  /// Whether the faults include planned replacements of servers, replicas that
+  /// receive nothing for a while and restarts of instances. Instances then pass
+  /// commits on as sessions do, record the members of the group and announce
+  /// their changes; otherwise a commit is acknowledged once a replica has it.
+  bool membership_changes = false;
+  /// Share of the announcements of a change that do not arrive.
+  int lost_announcement_percent = 10;
   /// Defect: a promotion that was held up still arrives after its time.
   bool deliver_expired_promotions = false;
   replication::injected_change_defects defects;
   replication::injected_check_defects check_defects;
+  injected_instance_defects instance_defects;
 };
 
 /// Result of a run.
--- a/tests/model/change_world_test.cpp
+++ b/tests/model/change_world_test.cpp
@@ -54,6 +54,7 @@
   change_world_settings correct = settings;
   correct.defects = {};
   correct.check_defects = {};
+  correct.instance_defects = {};
   for (std::uint64_t seed = 1; seed <= kMaxSeedsWithDefect; ++seed) {
     if (!SimulatePrimaryChanges(settings, seed).violations.empty() &&
         SimulatePrimaryChanges(correct, seed).violations.empty()) {
@@ -237,4 +238,45 @@
   CHECK(IsDetected(settings));
 }
 
+/// Planned replacements of servers, deaf replicas and restarts of instances
+/// beside the other faults.
+change_world_settings MembershipSettings() {
+  change_world_settings settings;
+  settings.membership_changes = true;
+  settings.fault_count = 10;
+  return settings;
+}
+
+// Commits that a server had confirmed were lost after it had left as planned
+// (review/6), and commits that a server confirmed which had joined during a
+// change (review/7; issue 43).
+TEST_CASE(
+    "change_world: no acknowledged commit is lost while servers join and "
+    "leave") {
+  int promotions = 0;
+  int acknowledged = 0;
+  const std::uint64_t first = FromEnvironment("PT_FIRST_SEED", 1);
+  for (std::uint64_t seed = first; seed <= LastSeed(); ++seed) {
+    const change_world_result run =
+        SimulatePrimaryChanges(MembershipSettings(), seed);
+    CHECK_MESSAGE(run.violations.empty(), Describe(seed, run));
+    promotions += run.promotions;
+    acknowledged += run.acknowledged;
+  }
+  CHECK(promotions > static_cast<int>(LastSeed() - first) / 2);
+  CHECK(acknowledged > static_cast<int>(LastSeed() - first) * 300);
+}
+
+TEST_CASE("change_world defect: a server that left as planned is forgotten") {
+  change_world_settings settings = MembershipSettings();
+  settings.instance_defects.forget_left_members = true;
+  CHECK(IsDetected(settings));
+}
+
+TEST_CASE("change_world defect: commits are passed on unchecked") {
+  change_world_settings settings = MembershipSettings();
+  settings.instance_defects.pass_on_unchecked = true;
+  CHECK(IsDetected(settings));
+}
+
 }  // namespace plantaintiller::model
