--- a/plantaintiller/model/change_commits.cpp
+++ b/plantaintiller/model/change_commits.cpp
@@ -117,7 +117,7 @@
   }
   const sent_commit commit = found->second;
   unconfirmed_writes.erase(found);
-  Deliver(*commit.sender, [this, commit] {
+  Deliver(*commit.sender, [commit] {
     commit.sender->group.OnWriteOutcome(commit.leader, false);
   });
 }
--- a/plantaintiller/model/change_members.cpp
+++ b/plantaintiller/model/change_members.cpp
@@ -28,7 +28,7 @@
   }
 }
 
-void change_simulation::Replace(std::string old) {
+void change_simulation::Replace(const std::string& old) {
   if (is_replacing) {
     return;
   }
@@ -47,7 +47,6 @@
       Trace(id + " listed");
     });
   }
-  servers.push_back(joined);
   queue.ScheduleAfter(milliseconds(DrawUpTo(1500)), [this, old] {
     Find(old)->draining = true;
     Trace(old + " drains");
@@ -59,6 +58,8 @@
   }
   queue.ScheduleAfter(milliseconds(3500 + DrawUpTo(5000)),
                       [this, old] { Leave(old); });
+  // The id may be that of a server in the list, which moves now.
+  servers.push_back(joined);
 }
 
 void change_simulation::Leave(const std::string& id) {
--- a/plantaintiller/model/change_simulation.h
+++ b/plantaintiller/model/change_simulation.h
@@ -98,8 +98,7 @@
   void InjectMembershipFault();
   /// Replaces a server as planned: a new one starts, the old one drains and
   /// leaves. Nothing if a replacement is in progress.
-  /// @param old its id, by value because the call adds a server.
-  void Replace(std::string old);
+  void Replace(const std::string& old);
   void Leave(const std::string& id);
   /// Lets replicas that stay receive nothing for a while.
   void DeafenReplicas(core::milliseconds span);
--- a/plantaintiller/model/change_world.h
+++ b/plantaintiller/model/change_world.h
@@ -90,7 +90,7 @@
 /// `replication` classes of the product. Servers crash, restart empty, lag and
 /// drain; commands, claims and promotions lose their answers or are executed
 /// late; instances freeze and are cut off from servers; partitions divide
-/// servers and instances.
+/// servers and instances; servers join and leave, and instances restart.
 /// @param seed of all random choices; the same seed gives the same result.
 change_world_result SimulatePrimaryChanges(
     const change_world_settings& settings,
