Soak: joins and planned leaves, late promotions, cut answers, leaving callers

With replace, drain-ms is 3,000: servers leave 3 to 7 s after the store has accepted their report, as PROTOCOL.md says. A server leaves only when another one, crashed or not, has all of its log.

Commits are confirmed by a replica with the same entry at the position, not only with a log of the length: by reading, a former leader that comes back deaf could confirm commits that it lacks. A server that comes back while no server leads receives from the next leader.

--- a/tests/soak/database_group.py
+++ b/tests/soak/database_group.py
@@ -49,10 +49,12 @@
         self.log = []
         self.held_term = 0
         self.draining = False
+        # A planned end: when the store accepted the report, and whether it is over.
+        self.leaving, self.leave_accepted_at, self.left = False, None, False
         self.replication_paused = False
         # Its reports do not reach the store while this is set.
         self.cut_from_store = False
-        self.answer_loss_probability = 0.0
+        self.answer_loss_probability = self.answer_cut_probability = 0.0
         self.incarnation = int(time.time() * 1000)
         self.connections = set()
         self.listener = None
@@ -66,6 +68,12 @@
         own_position = (self.log[-1].term if self.log else 0, len(self.log))
         return own_position >= (term, number)
 
+    def holds_log_of(self, other, size):
+        """Returns whether it has the first `size` entries of another server's log."""
+        if size == 0:
+            return True
+        return len(self.log) >= size and self.log[size - 1] is other.log[size - 1]
+
     async def start(self):
         self.listener = await asyncio.start_server(
             self.serve, self.host, self.port
@@ -113,6 +121,11 @@
     def send(self, *lines):
         self.writer.write("".join(line + "\r\n" for line in lines).encode())
 
+    def send_part(self, *lines):
+        data = "".join(line + "\r\n" for line in lines).encode()
+        self.server.group.cut_answers += 1
+        self.writer.write(data[:self.server.group.random.randrange(len(data))])
+
     def send_again(self, *lines):
         if not self.writer.transport.is_closing():
             self.server.group.repeated_answers += 1
@@ -151,6 +164,9 @@
             if answer_lost:
                 return
             answer = [*answer, self.ready()]
+            if server.group.draw_with_probability(server.answer_cut_probability):
+                self.send_part(*answer)
+                return
             self.send(*answer)
             if server.group.repeats_answer():
                 asyncio.get_running_loop().call_later(
@@ -167,18 +183,30 @@
         verb, _, rest = text.partition(" ")
         if verb == "WAITLSN":
             position, _, text = rest.partition(" ")
-            ignored = self.server.group.ignores_positions
+            ignored = self.server.group.planted_defect == "positions"
             if not ignored and not self.server.has_position(position):
                 return ["ERROR LAGGING behind"]
             verb, _, rest = text.partition(" ")
+        if verb == "WRITE" and self.draw_defect("texts"):
+            text, rest = text + "?", rest + "?"
         self.check_sent(query_id, text)
         handler = getattr(self, "on_" + verb.lower(), None)
         if handler is None:
             return ["ERROR MALFORMED unknown"]
         if self.lost_leadership() and verb not in ("COMMIT", "ROLLBACK"):
             return [f"ERROR READONLY {self.server.name}"]
-        self.server.group.on_statement(self, query_id)
-        return await handler(query_id, rest)
+        group = self.server.group
+        group.on_statement(self, query_id)
+        answer = await handler(query_id, rest)
+        if answer[-1].startswith("COMPLETE r."):
+            receipt, group.last_receipt = group.last_receipt, answer[-1]
+            if receipt and self.draw_defect("receipts"):
+                answer = [*answer[:-1], receipt]
+        return answer
+
+    def draw_defect(self, name):
+        group = self.server.group
+        return group.planted_defect == name and group.draw_with_probability(0.05)
 
     async def on_set(self, _query_id, rest):
         name, _, value = rest.partition(" ")
@@ -317,15 +345,20 @@
             for n, host in enumerate(hosts)
         ]
         self.servers[0].is_leader = True
-        self.highest_token = 0
+        self.highest_token, self.highest_received_token = 0, 0
+        self.newest_term, self.left_servers = 1, []
         # Whether promotions with outdated tokens are refused.
         self.fencing = True
         # Account of the connection on which each query was last received.
         self.accounts = {}
         # Called with the connection and the id of each statement that is run.
         self.on_statement = lambda session, query_id: None
-        # Injected defect: reads are answered even if the log lacks their position.
-        self.ignores_positions = False
+        # Injected defect; soak.py lists them.
+        self.planted_defect, self.last_receipt = None, None
+        self.promotions = 0
+        # Called with each event that the record of a failing run shows.
+        self.note = lambda event: None
+        self.cut_answers = 0
         # Share of the answers that are sent twice, and the longest time between,
         # drawn apart from the other faults so that these stay the same.
         self.repetition_probability, self.longest_repetition = 0.0, 0.4
@@ -359,32 +392,60 @@
                 receives = (server.alive and not server.replication_paused
                             and not server.held_term)
                 if leader and server is not leader and receives:
-                    if server.term == leader.term:
-                        server.log = list(leader.log)
+                    if server.term <= leader.term:
+                        server.term, server.log = leader.term, list(leader.log)
             await asyncio.sleep(0.005)
 
     async def wait_for_confirmation(self, leader, term, size):
         """Waits for a replica with `size` entries; False if the leader changes."""
         while leader.alive and leader.is_leader and leader.term == term:
             for server in self.servers:
-                if server is not leader and server.alive and len(server.log) >= size:
-                    if server.term == term:
+                if server is not leader and server.alive and server.term == term:
+                    if server.holds_log_of(leader, size):
                         return True
             await asyncio.sleep(0.002)
         return False
 
+    async def add_server(self, number, host):
+        """Starts an empty server, which receives the leader's log from now on."""
+        server = Server(self, f"i-{self.name}-{number}", host, self.servers[0].port)
+        server.term = self.newest_term
+        await server.start()
+        self.servers.append(server)
+        return server
+
+    def may_leave(self, server):
+        """Returns whether another server, crashed or not, has all of its log."""
+        return server.alive and any(
+            each.holds_log_of(server, len(server.log))
+            for each in self.servers if each is not server)
+
+    def remove_server(self, server):
+        """Ends a server for good; its log is gone with it."""
+        server.crash(empty=True)
+        server.left, server.is_leader = True, False
+        self.servers.remove(server)
+        self.left_servers.append(server)
+
+    def check_received_token(self, name, token):
+        """Checks the order of tokens at a platform that does not check it itself."""
+        if token < self.highest_received_token and not self.fencing:
+            self.checker.report_violation(f"promotion of {name} with token {token} "
+                                          f"after {self.highest_received_token}")
+        self.highest_received_token = max(token, self.highest_received_token)
+
     def promote(self, name, token):
         """Starts a promotion unless its token is outdated. Returns the HTTP status."""
         candidate = next(
             (server for server in self.servers if server.name == name), None
         )
-        if token < self.highest_token and not self.fencing:
-            self.checker.report_violation(
-                f"promotion of {name} with token {token} after {self.highest_token}")
+        if self.planted_defect == "promotion":
+            candidate = self.servers[2]
         fenced = self.fencing and token < self.highest_token
         if fenced or candidate is None or not candidate.alive:
             return 409
         self.highest_token = max(token, self.highest_token)
+        self.note(f"accepted promotion of {name} with token {token}")
         if not candidate.is_leader:
             asyncio.get_running_loop().call_later(
                 self.promotion_time, self.complete_promotion, candidate
@@ -395,17 +456,20 @@
         """Copies the new leader's log to all; checks it for acknowledged writes."""
         if not new_leader.alive or new_leader.is_leader:
             return
+        self.promotions += 1
+        self.note(f"promoted {new_leader.name}, term {self.newest_term + 1}, positions "
+                  + " ".join(f"{each.name}:{each.position()}" for each in self.servers))
         kept = {entry.query_id for entry in new_leader.log}
         for query_id, group in list(self.checker.acknowledged.items()):
             if group == self.name and query_id not in kept:
                 self.checker.report_violation(
                     f"acknowledged {query_id} is missing at {new_leader.name}"
                 )
-        newest_term = max(server.term for server in self.servers)
+        self.newest_term += 1
         for server in self.servers:
             server.is_leader = False
             server.held_term = 0
             if server.alive:
-                server.term = newest_term + 1
+                server.term = self.newest_term
                 server.log = list(new_leader.log)
         new_leader.is_leader = True
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -24,6 +24,8 @@
         # "up", "busy" (answers 503) or "silent" (does not answer).
         self.mode = "up"
         self.answer_loss_probability = 0.0
+        # Share of the promotions that get no answer and are carried out seconds later.
+        self.late_promotion_probability, self.late_promotions = 0.0, 0
         self.delay = 0.002
         self.started = time.monotonic()
         self.random = None
@@ -72,11 +74,14 @@
         last_alive = {}
         while True:
             for group in self.groups.values():
-                for server in group.servers:
+                for server in group.servers + group.left_servers:
+                    silence = time.monotonic() - last_alive.get(server.name, 0)
                     if server.alive and not server.cut_from_store:
                         last_alive[server.name] = time.monotonic()
                         self.put("servers", "", server.name, self.server_row(server))
-                    elif time.monotonic() - last_alive.get(server.name, 0) > 3.6:
+                        if server.leaving and server.leave_accepted_at is None:
+                            server.leave_accepted_at = time.monotonic()
+                    elif server.left or silence > 3.6:
                         self.remove("servers", "", server.name)
             self.keep_copy()
             await asyncio.sleep(0.4)
@@ -87,7 +92,7 @@
             "address": f"{getattr(server, 'entry_host', server.host)}:{server.port}",
             "zone": "z1",
             "version": "v1", "slots": 2,
-            "state": "draining" if server.draining else "ready",
+            "state": "draining" if server.draining or server.leaving else "ready",
             "cold-remaining-ms": 0,
             "db-role": "primary" if server.is_leader else "replica",
             "seq": 1, "born": server.incarnation,
@@ -117,6 +122,9 @@
             return False
         if self.mode == "busy":
             status, answer = 503, {}
+        elif self.delays_promotion(request_line[1], body, headers):
+            await asyncio.sleep(30)
+            return False
         else:
             status, answer = await self.answer(request_line[1], body, headers)
             answer_lost = (request_line[0] == "POST"
@@ -132,13 +140,31 @@
         await writer.drain()
         return True
 
+    def delays_promotion(self, target, body, headers):
+        """Draws whether a promotion gets no answer and is carried out seconds later."""
+        if target != "/promote" or self.late_promotion_probability == 0:
+            return False
+        if self.random.random() >= self.late_promotion_probability:
+            return False
+        self.late_promotions += 1
+        asyncio.get_running_loop().call_later(
+            2 + self.random.random() * 6, *self.receive_promotion(body, headers))
+        return True
+
+    def receive_promotion(self, body, headers):
+        """Returns the call that carries the promotion out."""
+        request = json.loads(body)
+        token = int(headers["x-plantaintiller-fencing-token"])
+        group = self.groups[request["service"]]
+        group.check_received_token(request["id"], token)
+        return group.promote, request["id"], token
+
     async def answer(self, target, body, headers):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         if url.path == "/promote":
-            request = json.loads(body)
-            token = int(headers["x-plantaintiller-fencing-token"])
-            return self.groups[request["service"]].promote(request["id"], token), {}
+            promote, *arguments = self.receive_promotion(body, headers)
+            return promote(*arguments), {}
         if url.path == "/-/rows-get":
             rows = [
                 row for (table, part, key), row in sorted(self.rows.items())
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -13,9 +13,14 @@
         # Directions that forward nothing: "up" to the server, "down" to the client.
         self.blocked_directions = set()
         self.links = set()
+        self.listener = None
 
     async def start(self):
-        await asyncio.start_server(self.accept, *self.address)
+        self.listener = await asyncio.start_server(self.accept, *self.address)
+
+    def stop(self):
+        self.listener.close()
+        self.reset()
 
     def reset(self):
         for link in list(self.links):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,8 @@
 import pathlib
 import random
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -54,7 +56,7 @@
 max-fds = 2000
 [bounds]
 grace-s = 4
-drain-ms = 7000
+drain-ms = {drain_ms}
 require-fencing = {fencing}
 [platform]
 address = "{platform}:{store}"
@@ -80,6 +82,7 @@
     contracts = []
     # Whether the platform refuses promotions with outdated tokens.
     fencing = True
+    drain_ms = 7000
 
     def __init__(self, number, ports, folder, forward_sessions):
         self.host = f"{ports['network']}.3.{number}"
@@ -95,7 +98,7 @@
         self.path.write_text(
             SETTINGS.format(name=self.name, host=self.host,
                             contracts=json.dumps(self.contracts),
-                            fencing=json.dumps(self.fencing),
+                            fencing=json.dumps(self.fencing), drain_ms=self.drain_ms,
                             **{**ports, "platform": platform})
         )
         self.process = None
@@ -169,9 +172,12 @@
 
     async def send_query(self, query_id, text, rows=None):
         """Sends one query and reads its answer. Returns the error code or None."""
+        line = f"QUERY {query_id} {text}\r\n".encode()
+        if self.world and self.world.caller_leaves():
+            self.leave(query_id, text, line)
         if self.world:
             self.world.checker.sent[query_id] = text
-        self.writer.write(f"QUERY {query_id} {text}\r\n".encode())
+        self.writer.write(line)
         code = None
         while True:
             line = (await self.read_line(6)).decode()
@@ -191,6 +197,18 @@
             elif not line:
                 raise ConnectionError("closed")
 
+    def leave(self, query_id, text, line):
+        """Sends any part of a line, also none or all, and ends the connection."""
+        size = self.world.random.randint(0, len(line))
+        if size == len(line):
+            self.world.checker.sent[query_id] = text
+        self.writer.write(line[:size])
+        if self.world.random.random() < 0.5:
+            # The connection is reset instead of closed.
+            self.writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        raise ConnectionError("left")
+
     def next_attempt(self):
         Caller.counter += 1
         return f"a{Caller.counter}"
@@ -252,6 +270,13 @@
 
     async def transaction(self):
         attempt = self.next_attempt()
+        try:
+            await self.run_transaction(attempt)
+        finally:
+            if f"{attempt}.2" not in self.world.checker.sent:
+                self.world.checker.not_run.add(f"{attempt}.1")
+
+    async def run_transaction(self, attempt):
         if await self.send_query(f"{attempt}.0", "BEGIN") is not None:
             return
         query_id = f"{attempt}.1"
@@ -260,8 +285,8 @@
         await asyncio.sleep(self.world.random.random() * 0.05)
         roll_back = code is not None or self.world.random.random() < 0.3
         if roll_back:
-            await self.send_query(f"{attempt}.2", "ROLLBACK")
             self.world.checker.not_run.add(query_id)
+            await self.send_query(f"{attempt}.2", "ROLLBACK")
             return
         self.record_outcome([query_id], await self.send_query(f"{attempt}.2", "COMMIT"))
 
@@ -292,6 +317,8 @@
     # Faults that a run draws besides the usual ones; one named twice comes more
     # often.
     more_faults = []
+    # Faults that a run draws instead of the usual ones, if any.
+    only_faults = []
     # Share of the servers' answers that are sent twice; 0 for 2% in every third
     # seed.
     repeated_share = 0.0
@@ -315,16 +342,15 @@
             self.checker, self.random,
         )
         self.group.fencing = Instance.fencing
+        self.network, self.base, self.server_count = network, base, 3
         # Draws of their own leave the other faults of a seed as they are.
         self.data_random = random.Random(f"data {seed}")
         self.group.repetition_random = random.Random(f"repetition {seed}")
         if World.repeated_share or seed % 3 == 0:
             self.group.repetition_probability = World.repeated_share or 0.02
         self.proxies = []
-        for number, server in enumerate(self.group.servers, 1):
-            proxy = Proxy(f"{network}.4.{number}", base, server.host, server.port)
-            self.proxies.append(proxy)
-            server.entry_host = proxy.address[0]
+        for server in self.group.servers:
+            self.add_proxy(server)
         self.platform = Platform([self.group], f"{network}.5.1", base + 1)
         self.platform.random = self.random
         # With every other seed, one instance serves the sessions of all instances.
@@ -337,7 +363,20 @@
             for n in range(instances)
         ]
         self.version = 0
-        self.faults = []
+        self.faults, self.events, self.faults_started = [], [], 0.0
+        self.group.note = self.note
+        # Share of the queries in or after which a caller leaves, and how many did.
+        self.leaving_probability, self.left_callers = 0.0, 0
+
+    def note(self, event):
+        self.events.append(f"{time.monotonic() - self.faults_started:.1f} {event}")
+
+    def add_proxy(self, server):
+        number = server.host.rpartition(".")[2]
+        proxy = Proxy(f"{self.network}.4.{number}", self.base, server.host, server.port)
+        self.proxies.append(proxy)
+        server.entry_host = proxy.address[0]
+        return proxy
 
     async def start_standins(self):
         """Starts everything that the instances connect to."""
@@ -354,6 +393,12 @@
         each = self.random.choice(self.instances)
         return each.host, each.ports["front"]
 
+    def caller_leaves(self):
+        leaves = (self.leaving_probability > 0
+                  and self.random.random() < self.leaving_probability)
+        self.left_callers += leaves
+        return leaves
+
     def publish(self):
         self.version += self.random.randint(1, 3)
         routes = ",".join(
@@ -370,6 +415,35 @@
             f'"limits":{{"tx-idle-ms":3000}}}}',
         )
 
+    async def add_server(self):
+        self.server_count += 1
+        server = await self.group.add_server(
+            self.server_count, f"{self.network}.2.{self.server_count}")
+        await self.add_proxy(server).start()
+        self.note(f"joined {server.name}")
+
+    async def retire(self, server):
+        """Lets a server drain, for drain-ms and up to 4 s more, then leave."""
+        if server.leaving:
+            return
+        server.leaving = True
+        longer = self.random.random() * 4
+        while server.leave_accepted_at is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(Instance.drain_ms / 1000 + longer)
+        while not self.group.may_leave(server):
+            await asyncio.sleep(0.05)
+        proxy = self.proxies.pop(self.group.servers.index(server))
+        self.group.remove_server(server)
+        proxy.stop()
+        self.note(f"left {server.name}")
+
+    async def replace(self, server):
+        """Adds a server and retires another one, in either order of their starts."""
+        first, second = self.random.sample(
+            [self.add_server, lambda: self.retire(server)], 2)
+        await asyncio.gather(first(), self.run_after(self.random.random() * 2, second))
+
     async def run_after(self, seconds, action):
         await asyncio.sleep(seconds)
         result = action()
@@ -383,7 +457,7 @@
         server, proxy = rng.choice(list(zip(self.group.servers, self.proxies)))
         leader = self.group.leader()
         platform, undo = self.platform, None
-        kind = rng.choice(self.more_faults + [
+        kind = rng.choice(self.only_faults or self.more_faults + [
             "kill", "pause", "term", "herd", "reset", "silence", "delay",
             "one_way", "leader_crash", "drain", "deaf", "lost_answers",
             "store_busy", "store_silent", "store_lost", "store_restored",
@@ -425,6 +499,18 @@
             server.cut_from_store = True
             undo = lambda: setattr(server, "cut_from_store", False)
             duration += 4
+        elif kind == "replace":
+            asyncio.create_task(self.replace(server))
+        elif kind == "late_promotions":
+            platform.late_promotion_probability = 0.5
+            undo = lambda: setattr(platform, "late_promotion_probability", 0.0)
+            duration += 4
+        elif kind == "cut_answers":
+            server.answer_cut_probability = 0.05
+            undo = lambda: setattr(server, "answer_cut_probability", 0.0)
+        elif kind == "leaving_callers":
+            self.leaving_probability = 0.05
+            undo = lambda: setattr(self, "leaving_probability", 0.0)
         elif kind == "lost_answers":
             server.answer_loss_probability = 0.05
             undo = lambda: setattr(server, "answer_loss_probability", 0.0)
@@ -477,13 +563,14 @@
         callers = [Caller(self, name) for name in ROUTES for _ in range(5)]
         callers.append(SharedItemWriter(self, "orders"))
         tasks += [asyncio.create_task(each.run()) for each in callers]
-        end = time.monotonic() + seconds
+        self.faults_started = time.monotonic()
+        end = self.faults_started + seconds
         while World.is_calm and time.monotonic() < end:
             await asyncio.sleep(0.2)
         while time.monotonic() < end:
             await asyncio.sleep(0.4 + self.random.random() * 1.6)
-            self.faults.append(f"{time.monotonic() - end + seconds:.1f} "
-                               + self.inject_random_fault())
+            self.faults.append(self.inject_random_fault())
+            self.note("fault " + self.faults[-1])
         await asyncio.sleep(4.0)
         served_before = self.served_reads
         await asyncio.sleep(4.0)
@@ -526,8 +613,8 @@
     """Runs one seed. Returns the violations found."""
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
         world = World(seed, instances, pathlib.Path(folder))
-        if injected_defect == "positions":
-            world.group.ignores_positions = True
+        world.group.planted_defect = injected_defect
+        if injected_defect in ("positions", "promotion"):
             world.group.servers[2].replication_paused = True
         try:
             asyncio.run(world.run(seconds))
@@ -540,10 +627,15 @@
         print(f"seed {seed}: {len(world.checker.acknowledged)} writes, "
               f"{world.served_reads} reads, {len(world.faults)} faults, "
               f"{world.group.repeated_answers} repeated answers, "
+              f"{world.group.cut_answers} cut, "
+              f"{world.left_callers} callers left, "
+              f"{len(world.group.left_servers)} servers left, "
+              f"{world.group.promotions} promotions, "
+              f"{world.platform.late_promotions} late, "
               f"{len(violations)} broken", flush=True)
         if violations:
             print("\n".join(["  " + each for each in violations[:10]]
-                            + ["  fault " + each for each in world.faults]))
+                            + ["  " + each for each in world.events]))
             log_folder = os.environ.get("SOAK_LOGS")
             if log_folder:
                 for path in pathlib.Path(folder).glob("*.log"):
@@ -563,8 +655,10 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument(
-        "--planted", choices=["positions"],
-        help="servers answer reads even if their log lacks the position: must be found",
+        "--planted", choices=["positions", "receipts", "texts", "promotion"],
+        help="a defect that must be found: servers answer reads even if their log "
+             "lacks the position, answer with other receipts or run other texts, or "
+             "the platform promotes a replica that receives nothing",
     )
     parser.add_argument(
         "--contracts", nargs="*", default=[],
@@ -578,13 +672,19 @@
         "--more", nargs="*", default=[], metavar="FAULT",
         help="faults drawn besides the usual ones, for instance lapse",
     )
+    parser.add_argument(
+        "--only", nargs="*", default=[], metavar="FAULT",
+        help="faults drawn instead of the usual ones",
+    )
     parser.add_argument(
         "--repeated", type=float, default=0.0, metavar="SHARE",
         help="share of the servers' answers that are sent twice, the second one late",
     )
     parser.add_argument("--calm", action="store_true", help="no other faults")
     arguments = parser.parse_args()
-    World.more_faults = arguments.more
+    World.more_faults, World.only_faults = arguments.more, arguments.only
+    if "replace" in arguments.more + arguments.only:
+        Instance.drain_ms = 3000  # Several servers can leave in a short run.
     World.repeated_share, World.is_calm = arguments.repeated, arguments.calm
     Instance.contracts = arguments.contracts
     Instance.fencing = not arguments.unfenced
