--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -62,6 +62,21 @@
         self.assertEqual(run.returncode, 1, run.stdout + run.stderr)
         self.assertIn("own write", run.stdout)
 
+    def test_answers_with_another_receipt_are_found(self):
+        run = run_soak("--seeds", "1:1", "--seconds", "4", "--planted", "receipts")
+        self.assertEqual(run.returncode, 1, run.stdout + run.stderr)
+        self.assertIn("got receipt", run.stdout)
+
+    def test_statements_that_run_with_another_text_are_found(self):
+        run = run_soak("--seeds", "1:1", "--seconds", "4", "--planted", "texts")
+        self.assertEqual(run.returncode, 1, run.stdout + run.stderr)
+        self.assertIn("sent was", run.stdout)
+
+    def test_promotions_of_a_replica_without_acknowledged_commits_are_found(self):
+        run = run_soak("--seeds", "1:1", "--seconds", "8", "--planted", "promotion",
+                       "--only", "drain")
+        self.assertEqual(run.returncode, 1, run.stdout + run.stderr)
+        self.assertIn("is missing at i-g1-2", run.stdout)
 
     def test_terminated_soak_ends_its_instances(self):
         process = subprocess.Popen(
