Soak: a deaf replica receives no log by a promotion

The stand-in gave each live server the new leader's log. Of PROTOCOL.md, only those that were ahead are rolled back; the rest arrives by replication.

--- a/tests/soak/database_group.py
+++ b/tests/soak/database_group.py
@@ -74,6 +74,11 @@
             return True
         return len(self.log) >= size and self.log[size - 1] is other.log[size - 1]
 
+    def roll_back_to(self, other):
+        """Drops the entries that another server's log lacks."""
+        while self.log and not other.holds_log_of(self, len(self.log)):
+            self.log.pop()
+
     async def start(self):
         self.listener = await asyncio.start_server(
             self.serve, self.host, self.port
@@ -453,7 +458,10 @@
         return 200
 
     def complete_promotion(self, new_leader):
-        """Copies the new leader's log to all; checks it for acknowledged writes."""
+        """Makes a server the leader; checks its log for acknowledged writes.
+
+        The others drop what it lacks; those that are not deaf receive the rest.
+        """
         if not new_leader.alive or new_leader.is_leader:
             return
         self.promotions += 1
@@ -471,5 +479,7 @@
             server.held_term = 0
             if server.alive:
                 server.term = self.newest_term
-                server.log = list(new_leader.log)
+                server.roll_back_to(new_leader)
+                if not server.replication_paused:
+                    server.log = list(new_leader.log)
         new_leader.is_leader = True
