A change under way is known for as long as it lasts

Cause: an instance forgot its own change 2.5 s after its claim, though the claim was renewed; hearing late of an earlier leader deleted the notice of the change under way; an instance that started during a change knew nothing of it. Class: as before, who may have confirmed.

--- a/plantaintiller/model/change_lists.cpp
+++ b/plantaintiller/model/change_lists.cpp
@@ -38,7 +38,7 @@
             [this, listed = simulated_world.ListedServers()] {
               simulated_world.Deliver(*this, [this, listed] {
                 reading_list_ = false;
-                group.OnListCurrent(Now());
+                group.OnListRead(Now(), core::duration(0));
                 AdoptList(listed);
                 recorder.OnList(listed);
               });
--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -103,6 +103,7 @@
 
 void primary_change::QueryServers(step next) {
   step_ = next;
+  group_.OnChangeAnnounced(host_.Now());
   answers_.clear();
   request_round_ += 1;
   const std::uint64_t round = request_round_;
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -216,6 +216,7 @@
 
 void primary_change::CheckPromotion() {
   step_ = step::kAwaitingPromotion;
+  group_.OnChangeAnnounced(host_.Now());
   if (host_.Now() - promoted_ > settings_.promotion_limit) {
     Abandon("promotion_time");
     return;
