An instance that starts gives no new work to a server that drains already

Cause: the 4.5 s in which a draining server still gets new work counted from the process's own first look. Class: a time that is kept from one's own start for an event that came before. Nothing in the list tells since when a server drains, so the time counts as over for one that drains in the first list. The new case of group_state_test fails without it.

--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -90,7 +90,8 @@
     if (!entry.draining) {
       updated.draining_since.reset();
     } else if (!updated.draining_since.has_value()) {
-      updated.draining_since = now;
+      // In the first list nothing tells for how long it has been draining.
+      updated.draining_since = has_list_ ? now : now - draining_grace_period_;
     }
     if (entry.reports_leader) {
       reported = entry.id;
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -220,6 +220,21 @@
   CHECK_FALSE(fixture.group.CommitsNeedCheck(fixture.now));
 }
 
+// An instance that was restarted counted the time in which a draining leader
+// still gets work from its own first look (DRAIN, review/found-2).
+TEST_CASE("group_state: a server that drains in the first list gets no work") {
+  const core::time_point now{std::chrono::hours(1)};
+  server_entry leaving = Entry("a", "near", true);
+  leaving.draining = true;
+  group_state started{"g"};
+  started.OnList({leaving, Entry("b", "near", false)}, kZones, now);
+  CHECK_FALSE(started.AcceptsNewWork("a", now));
+  CHECK(started.AcceptsNewWork("b", now));
+  group_fixture running;
+  running.List({leaving, Entry("b", "near", false), Entry("c", "far", false)});
+  CHECK(running.group.AcceptsNewWork("a", running.now));
+}
+
 // An instance that had just started took a server that had just joined for one
 // that all others know.
 TEST_CASE("group_state: a young server in the first list is not settled") {
