A leader that was demoted while it was ahead leads again

Cause: a leader whose commits are stuck is demoted before the promotion of another server. If it turns out to be ahead, the change starts again, and then waits for a crashed server that might have confirmed commits.

Why it works: every commit that was acknowledged in the term of the demoted leader is in its own log, whoever confirmed it, and no other server has led since: no answer shows a later term or a primary, no other order is outstanding, and no other instance has held the claim. It is the candidate then, and nobody has to be waited for.

--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -390,6 +390,9 @@
     return leader_position_after_holds_.has_value() &&
            *leader_position_after_holds_ <= candidate;
   }
+  if (IsDemotedLeader()) {
+    return true;
+  }
   const core::duration blocked_time = host_.Now() - blocked_since_;
   const std::optional<core::log_position> acknowledged_position =
       group_.Proofs().LastPositionBefore(group_.Proofs().LastProofTime() -
@@ -408,7 +411,29 @@
   return has_recent_proof || blocked_time > settings_.outdated_instance_delay;
 }
 
+bool primary_change::IsDemotedLeader() const {
+  const sessions::server_status* status = StatusOf(candidate_);
+  if (!demoted_.has_value() || demoted_->server != candidate_ ||
+      status == nullptr || status->received < demoted_->status.received) {
+    return false;
+  }
+  const core::term_number term = demoted_->status.term;
+  return group_.LeaderTerm() <= term && status->term == term &&
+         std::none_of(
+             outstanding_.begin(), outstanding_.end(),
+             [this](const auto& each) { return each.first != candidate_; }) &&
+         std::none_of(answers_.begin(), answers_.end(),
+                      [term](const auto& each) {
+                        return each.second.status.has_value() &&
+                               (each.second.status->is_primary ||
+                                each.second.status->term > term);
+                      });
+}
+
 bool primary_change::IsReplicaUnknown(core::log_position candidate) const {
+  if (IsDemotedLeader()) {
+    return false;
+  }
   const auto unknown = [this, candidate](const std::string& id, bool answered) {
     return MayConfirm(id) && !answered && !HasAllCommitsOf(id, candidate);
   };
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -321,6 +321,10 @@
   /// Whether a replica that does not answer may have commits that the candidate
   /// lacks.
   bool IsReplicaUnknown(core::log_position candidate) const;
+  /// Whether the candidate is the leader of the newest term that this instance
+  /// has demoted. It has every acknowledged commit, whoever confirmed them: no
+  /// other server has led since.
+  bool IsDemotedLeader() const;
   /// Whether the candidate has every acknowledged commit that a missing replica
   /// may have confirmed.
   bool HasAllCommitsOf(const std::string& missing,
@@ -441,6 +445,13 @@
   /// Empty if no server is the leader.
   std::string old_leader_;
   bool leader_answered_ = false;
+  /// A leader that this instance has demoted although it was ahead, with its
+  /// answer; forgotten when another instance has held the claim since.
+  struct demoted_leader {
+    std::string server;
+    sessions::server_status status;
+  };
+  std::optional<demoted_leader> demoted_;
   std::string candidate_;
   answers answers_;
   int pending_answers_ = 0;
--- a/plantaintiller/replication/primary_claim.cpp
+++ b/plantaintiller/replication/primary_claim.cpp
@@ -104,6 +104,9 @@
     return;
   }
   replaced_claim_ = DescribeClaim(*claim, store_now);
+  if (claim->holder != settings_.holder) {
+    demoted_.reset();
+  }
   if (claim->settled && claim->token > token_) {
     // Its holder has had a promotion accepted under a higher token.
     outstanding_.clear();
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -64,6 +64,7 @@
   }
   if (status->received > candidate->received) {
     // The old leader has commits that it can no longer send.
+    demoted_ = {old_leader_, *status};
     RetryOrAbandon("demoted_ahead");
     return;
   }
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -367,6 +367,49 @@
   CHECK(!world.orders.empty());
 }
 
+// A leader that was demoted while it was ahead left its group without a leader
+// for 20 s, though it had every acknowledged commit itself (swanlodge-db
+// scale-2, wirnik-diag-grown trouble-1).
+TEST_CASE("primary_change: a leader that was demoted while ahead leads again") {
+  change_fixture world;
+  world.unreachable = {"c"};
+  world.unlisted.insert("c");
+  world.List();
+  world.change->Start(change_reason::kCommitsStalled);
+  while (world.log.find("demote a") == std::string::npos) {
+    world.Run(milliseconds(1));
+    REQUIRE(world.leaders.empty());
+  }
+  world.servers["a"].received = {1, 11};
+  world.Run(milliseconds(500));
+  REQUIRE(!world.orders.empty());
+  CHECK(world.orders[0].server == "a");
+}
+
+// The same server, once another instance has held the claim and may have
+// promoted one that does not answer.
+TEST_CASE("primary_change: a demoted leader is not trusted for long") {
+  change_fixture world;
+  world.unreachable = {"c"};
+  world.unlisted.insert("c");
+  world.List();
+  world.change->Start(change_reason::kCommitsStalled);
+  while (world.log.find("demote a") == std::string::npos) {
+    world.Run(milliseconds(1));
+    REQUIRE(world.leaders.empty());
+  }
+  world.servers["a"].received = {1, 11};
+  world.Run(milliseconds(10));
+  world.SetClaimOfOther(9, world.StoreNow() - milliseconds(2600));
+  world.row.settled = true;
+  world.now += milliseconds(5000);
+  world.change->OnTimer();
+  world.Run(milliseconds(4000));
+  world.change->Start(change_reason::kNoLeader);
+  world.Run(milliseconds(1000));
+  CHECK(world.orders.empty());
+}
+
 // A server that had joined since the list was read had confirmed commits that
 // the promoted one lacked (LOST, review case 7).
 TEST_CASE("primary_change: no order on an outdated list") {
