--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -445,8 +445,8 @@
   /// Empty if no server is the leader.
   std::string old_leader_;
   bool leader_answered_ = false;
-  /// A leader that this instance has demoted although it was ahead, with its
-  /// answer; forgotten when another instance has held the claim since.
+  /// A leader that this instance has told to follow, with its last answer as
+  /// leader; forgotten when another instance has held the claim since.
   struct demoted_leader {
     std::string server;
     sessions::server_status status;
--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -45,6 +45,10 @@
 
 void primary_change::DemoteOldLeader() {
   step_ = step::kDemoting;
+  if (const sessions::server_status* status = StatusOf(old_leader_)) {
+    // Kept now, because the answer to the demotion may be lost.
+    demoted_ = {old_leader_, *status};
+  }
   host_.LogChange(group_.Name(), "demote", old_leader_);
   const std::uint64_t round = ++request_round_;
   host_.SendCommand(
@@ -64,7 +68,6 @@
   }
   if (status->received > candidate->received) {
     // The old leader has commits that it can no longer send.
-    demoted_ = {old_leader_, *status};
     RetryOrAbandon("demoted_ahead");
     return;
   }
