Commits that wait for a check are set apart without std::stable_partition

The library's temporary buffer for it is allocated and freed by functions that the address sanitizer takes for a mismatch; it ended the sanitizer's run in change_world.

--- a/plantaintiller/replication/leadership_check.cpp
+++ b/plantaintiller/replication/leadership_check.cpp
@@ -56,13 +56,15 @@
         leadership_evidence::FromCommit(server, sent);
     Confirm(evidence, current_);
     // The answers of a round are older than the commits that wait for the next.
-    const auto commits = std::stable_partition(
-        waiting_.begin(), waiting_.end(),
-        [](const request& each) { return !each.commit.has_value(); });
-    std::vector<request> later(commits, waiting_.end());
-    waiting_.erase(commits, waiting_.end());
+    std::vector<request> commits;
+    std::erase_if(waiting_, [&commits](const request& each) {
+      if (each.commit.has_value()) {
+        commits.push_back(each);
+      }
+      return each.commit.has_value();
+    });
     Confirm(evidence, waiting_);
-    waiting_.insert(waiting_.end(), later.begin(), later.end());
+    waiting_.insert(waiting_.end(), commits.begin(), commits.end());
     NotifyEnded();
   }
 }
