A draining server that leaves the list and returns is not known to all

Callers would see: an acknowledged commit is missing at the promoted server (LOST). Seen in the model only.

Cause: a server that returned to the list under the same birth was taken for one that every instance knows. That holds for a server whose entry lapsed while it ran. A draining one that has left the list is taken for one that has ended, so that a change of the leader neither holds it nor waits for it. If it had only crashed, it came back, confirmed commits of the old leader, and these were passed on.

The new case of group_state_test fails before: the server that returned counts as settled.

--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -125,8 +125,11 @@
                                           core::time_point now,
                                           core::milliseconds unix_now) const {
   const auto removed = removed_.find(entry.id);
+  // A draining server that has left the list is taken for one that has ended,
+  // so that a change of the leader does not wait for it.
   const bool returns = removed != removed_.end() &&
-                       removed->second.entry.born_ms == entry.born_ms;
+                       removed->second.entry.born_ms == entry.born_ms &&
+                       !removed->second.entry.draining && !entry.draining;
   const bool is_old =
       unix_now.count() == 0 ||
       unix_now - core::milliseconds(entry.born_ms) >= kSettledAge;
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -60,7 +60,7 @@
     /// Time at which the request that failed first was sent.
     core::time_point first_failure_sent;
     /// Time since which it is listed; the epoch if it started long before this
-    /// instance did, or was listed before it was last seen to leave.
+    /// instance did, or was listed before and has not left while draining.
     core::time_point listed_since;
     /// Time since which it is not listed. An unlisted leader is kept for a
     /// while, as long as it answers, until another server is the leader.
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -263,6 +263,21 @@
   CHECK_FALSE(fixture.group.IsSettled("b", fixture.now));
 }
 
+// A draining server whose entry lapsed, as it crashed or did not reach the
+// store, confirmed commits while a change had left it out (LOST, change_world
+// seed 8446).
+TEST_CASE("group_state: a draining server that lapsed returns as a new one") {
+  group_fixture fixture;
+  server_entry draining = Entry("b", "near", false);
+  draining.draining = true;
+  fixture.List({Entry("a", "near", true), draining, Entry("c", "far", false)});
+  CHECK(fixture.group.IsSettled("b", fixture.now));
+  fixture.List({Entry("a", "near", true), Entry("c", "far", false)});
+  fixture.List({Entry("a", "near", true), draining, Entry("c", "far", false)});
+  CHECK_FALSE(fixture.group.IsSettled("b", fixture.now));
+  CHECK(fixture.group.IsSettled("c", fixture.now));
+}
+
 TEST_CASE("group_state: commits are checked during a change of the leader") {
   group_fixture fixture;
   fixture.group.OnChangeAnnounced(fixture.now);
