A server that joins during a change of the leader is not known to all

Cause: a listed server counted as known to all after 3 s, which is the age of the list that a change relies on. An order without an answer is carried out seconds later, and what it was decided on is as old by then. A server that joined after the decision was known to all before the promotion took effect, and was neither compared nor held.

Why it works: while a change is announced, and for 5 s after the last announcement, which covers the pause before its holder takes up an order without an answer, only servers count that were known to all when the change began.

--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -101,7 +101,7 @@
   }
   if (!has_list_) {
     // A change that is under way was announced before this instance started.
-    change_announced_at_ = now;
+    OnChangeAnnounced(now);
   }
   has_list_ = true;
   KeepUnlistedLeader(next, now);
@@ -143,12 +143,27 @@
              kMaxListAgeForChange;
 }
 
+void group_state::OnChangeAnnounced(core::time_point now) {
+  if (!IsChangeRecent(now)) {
+    change_began_at_ = now;
+  }
+  change_announced_at_ = now;
+}
+
+bool group_state::IsChangeRecent(core::time_point now) const {
+  return change_announced_at_ != core::time_point{} &&
+         now - change_announced_at_ < kChangeContinuation;
+}
+
 bool group_state::IsSettled(const std::string& server,
                             core::time_point now) const {
   const auto found = servers_.find(server);
-  return found != servers_.end() &&
-         (found->second.listed_since == core::time_point{} ||
-          now - found->second.listed_since >= kSettlingTime);
+  if (found == servers_.end()) {
+    return false;
+  }
+  const core::time_point decided = IsChangeRecent(now) ? change_began_at_ : now;
+  return found->second.listed_since == core::time_point{} ||
+         decided - found->second.listed_since >= kSettlingTime;
 }
 
 bool group_state::IsLeadershipInDoubt(core::time_point now) const {
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -87,6 +87,10 @@
   /// How long an announced change of the leader is expected to go on: a claim
   /// is valid for as long.
   static constexpr core::milliseconds kChangeNotice{2500};
+  /// How long after an announcement the next one belongs to the same change: a
+  /// claim is valid for half as long, and its holder pauses for as long again
+  /// before it takes up an order without an answer.
+  static constexpr core::milliseconds kChangeContinuation{5000};
   /// Age of the list from which on this instance may be cut off from the others
   /// and hear of no change: longer than the interval at which it hears of reads
   /// by others, in a large deployment.
@@ -150,9 +154,11 @@
   /// @param suspended how long the machine has been suspended by now.
   bool IsListCurrent(core::time_point now, core::duration suspended) const;
   /// Called when some instance, this one included, changes the leader.
-  void OnChangeAnnounced(core::time_point now) { change_announced_at_ = now; }
+  void OnChangeAnnounced(core::time_point now);
   /// @return whether a server was listed long enough that every instance which
-  /// changes the leader knows it.
+  /// changes the leader knows it. During a change it must have been so when the
+  /// change began: a promotion may be carried out seconds after its order, and
+  /// what it was decided on is as old.
   bool IsSettled(const std::string& server, core::time_point now) const;
   /// @return whether the leader may be about to be replaced, so that the
   /// acknowledgement of a commit does not prove that its server still leads.
@@ -292,6 +298,9 @@
       const std::vector<std::string>& excluded,
       core::time_point now,
       std::optional<core::log_position> needed) const;
+  /// @return whether a change of the leader was announced so recently that its
+  /// orders may still be carried out.
+  bool IsChangeRecent(core::time_point now) const;
   void SetLeader(const std::string& server, core::time_point now);
   core::time_point ListedSince(const server_entry& entry,
                                core::time_point now,
@@ -321,6 +330,8 @@
   core::duration list_suspended_{0};
   core::time_point store_heard_at_;
   core::time_point change_announced_at_;
+  /// First announcement of the change that was announced last.
+  core::time_point change_began_at_;
   /// Server that answered that it is not the leader while the list still named
   /// it as leader.
   std::string rejected_leader_;
--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -289,6 +289,24 @@
   CHECK_FALSE(fixture.group.IsLeadershipInDoubt(fixture.now));
 }
 
+// An order without an answer was carried out 4 s later. A server that had
+// joined meanwhile had confirmed commits which the promoted one lacked (LOST,
+// change_world seeds 21842 and 37251).
+TEST_CASE("group_state: a server that joins during a change is not settled") {
+  group_fixture fixture;
+  fixture.group.OnChangeAnnounced(fixture.now);
+  fixture.List({Entry("a", "near", true), Entry("b", "near", false),
+                Entry("d", "far", false)});
+  for (int repeat = 0; repeat < 4; ++repeat) {
+    fixture.now += group_state::kChangeNotice;
+    fixture.group.OnChangeAnnounced(fixture.now);
+  }
+  CHECK(fixture.group.IsSettled("b", fixture.now));
+  CHECK_FALSE(fixture.group.IsSettled("d", fixture.now));
+  fixture.now += group_state::kChangeContinuation;
+  CHECK(fixture.group.IsSettled("d", fixture.now));
+}
+
 // An instance that started during a change had not heard of it.
 TEST_CASE("group_state: commits are checked for a while after the start") {
   const core::time_point now{std::chrono::hours(1)};
