--- a/plantaintiller/replication/primary_promotion.cpp
+++ b/plantaintiller/replication/primary_promotion.cpp
@@ -254,7 +254,8 @@
 }
 
 void primary_change::RetryOrAbandon(const char* reason) {
-  host_.LogChange(group_.Name(), "change_wait", reason);
+  host_.LogChange(group_.Name(), "change_wait",
+                  reason + std::string(" members") + DescribeMembers());
   failed_rounds_ += 1;
   if (host_.Now() - started_ > settings_.preparation_limit) {
     if (holds_placed_ && LeaderAnswers() && !releasing_holds_) {
