A replica with the log of a demoted leader leads without a wait

Of equal logs the nearest is the candidate: a replica that had caught up with the demoted leader was chosen, and the change waited (change_wait replica_unknown with both at 2.338).

Change: the candidate must have the whole log of the demoted leader, in its term, instead of being it.

Why it works: every commit of the newest term was made by the demoted leader. A log of that term that reaches as far has them all, whoever confirmed them. The other conditions are as before.

--- a/plantaintiller/replication/primary_change.cpp
+++ b/plantaintiller/replication/primary_change.cpp
@@ -390,7 +390,7 @@
     return leader_position_after_holds_.has_value() &&
            *leader_position_after_holds_ <= candidate;
   }
-  if (IsDemotedLeader()) {
+  if (HasDemotedLeadersLog()) {
     return true;
   }
   const core::duration blocked_time = host_.Now() - blocked_since_;
@@ -411,14 +411,20 @@
   return has_recent_proof || blocked_time > settings_.outdated_instance_delay;
 }
 
-bool primary_change::IsDemotedLeader() const {
-  const sessions::server_status* status = StatusOf(candidate_);
-  if (!demoted_.has_value() || demoted_->server != candidate_ ||
-      status == nullptr || status->received < demoted_->status.received) {
+bool primary_change::HasDemotedLeadersLog() const {
+  if (!demoted_.has_value()) {
     return false;
   }
   const core::term_number term = demoted_->status.term;
-  return group_.LeaderTerm() <= term && status->term == term &&
+  const sessions::server_status* demoted = StatusOf(demoted_->server);
+  const sessions::server_status* candidate = StatusOf(candidate_);
+  // A replica of an earlier term may have to drop commits of its own.
+  if (demoted == nullptr || demoted->term != term ||
+      demoted->received < demoted_->status.received || candidate == nullptr ||
+      candidate->term != term || candidate->received < demoted->received) {
+    return false;
+  }
+  return group_.LeaderTerm() <= term &&
          std::none_of(
              outstanding_.begin(), outstanding_.end(),
              [this](const auto& each) { return each.first != candidate_; }) &&
@@ -431,7 +437,7 @@
 }
 
 bool primary_change::IsReplicaUnknown(core::log_position candidate) const {
-  if (IsDemotedLeader()) {
+  if (HasDemotedLeadersLog()) {
     return false;
   }
   const auto unknown = [this, candidate](const std::string& id, bool answered) {
--- a/plantaintiller/replication/primary_change.h
+++ b/plantaintiller/replication/primary_change.h
@@ -321,10 +321,11 @@
   /// Whether a replica that does not answer may have commits that the candidate
   /// lacks.
   bool IsReplicaUnknown(core::log_position candidate) const;
-  /// Whether the candidate is the leader of the newest term that this instance
-  /// has demoted. It has every acknowledged commit, whoever confirmed them: no
-  /// other server has led since.
-  bool IsDemotedLeader() const;
+  /// Whether the candidate has the whole log of the leader of the newest term,
+  /// which this instance has demoted, or is that server. It has every
+  /// acknowledged commit, whoever confirmed them: no other server has led
+  /// since.
+  bool HasDemotedLeadersLog() const;
   /// Whether the candidate has every acknowledged commit that a missing replica
   /// may have confirmed.
   bool HasAllCommitsOf(const std::string& missing,
--- a/tests/replication/change_fixture.h
+++ b/tests/replication/change_fixture.h
@@ -52,12 +52,14 @@
       server_entry entry;
       entry.id = id;
       entry.group = group.Name();
-      entry.zone = "z";
+      entry.zone = far.contains(id) ? "far" : "z";
       entry.draining = draining.contains(id);
       entry.reports_leader = status.is_primary;
       listed.push_back(entry);
     }
-    group.OnList(listed, {{"z", distance::kSameZone}}, now);
+    group.OnList(listed,
+                 {{"z", distance::kSameZone}, {"far", distance::kOtherRegion}},
+                 now);
   }
 
   /// Lets answers and timers come in their order until `span` has passed.
@@ -171,6 +173,7 @@
   change_settings settings;
   std::map<std::string, sessions::server_status> servers;
   std::set<std::string> draining;
+  std::set<std::string> far;
   std::set<std::string> unreachable;
   std::set<std::string> unlisted;
   group_claim row;
--- a/tests/replication/primary_change_test.cpp
+++ b/tests/replication/primary_change_test.cpp
@@ -386,6 +386,26 @@
   CHECK(world.orders[0].server == "a");
 }
 
+// A replica that had caught up with it, and was nearer, was the candidate. The
+// group was without a leader for 20 s (wirnik-diag-grown trouble-1, seed 11).
+TEST_CASE("primary_change: a replica with the log of a demoted leader leads") {
+  change_fixture world;
+  world.far.insert("a");
+  world.unreachable = {"c"};
+  world.unlisted.insert("c");
+  world.List();
+  world.change->Start(change_reason::kCommitsStalled);
+  while (world.log.find("demote a") == std::string::npos) {
+    world.Run(milliseconds(1));
+    REQUIRE(world.leaders.empty());
+  }
+  world.servers["a"].received = {1, 11};
+  world.Run(milliseconds(10));
+  world.servers["b"].received = {1, 11};
+  world.Run(milliseconds(500));
+  REQUIRE(!world.orders.empty());
+}
+
 // The same server, once another instance has held the claim and may have
 // promoted one that does not answer.
 TEST_CASE("primary_change: a demoted leader is not trusted for long") {
