A server whose entry lapsed confirms commits; the start begins no change

test_unlisted_replica: commits were in doubt for as long as the only replica that received them did not reach the store. Such a replica is a member, for which a change of the leader waits, but it was not asked, as it is in no list. Instances ask the servers that have left the list without draining for 25 s, and learn of them from the group's row when they have read it, not only when they claim it.

test_keys and the planted promotion of a deaf replica: the first list of an instance began a change, so that servers which had just started counted as new for 5 s in place of 3 s, and commits were in doubt for as long. Only announcements begin one now.

--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -86,6 +86,7 @@
                                 public peer_listener,
                                 public leader_controller_listener,
                                 public leadership_checks_listener,
+                                public member_recorder_listener,
                                 public instance_registry_listener,
                                 public limit_exchange_host,
                                 public forwarding::forwarder_host,
@@ -114,7 +115,7 @@
                            {dependencies.servers, dependencies.status,
                             dependencies.rows, dependencies.promotions, log_},
                            *this),
-        members_(dependencies.rows, log_),
+        members_(dependencies.rows, log_, this),
         leadership_checks_(context,
                            dependencies.servers,
                            dependencies.status,
@@ -220,6 +221,14 @@
     return exchange_.LivePeers() + 1;
   }
 
+  // member_recorder_listener
+  void OnMemberRecorded(const std::string& group,
+                        const replication::server_entry& member) override {
+    const auto found = groups_.find(group);
+    if (found != groups_.end()) {
+      found->second->state.OnRecordedMember(member, core::clock::now());
+    }
+  }
   // leadership_checks_listener
   void OnLeaderFoundChanged(const std::string& group) override;
 
--- a/plantaintiller/gateway/member_recorder.cpp
+++ b/plantaintiller/gateway/member_recorder.cpp
@@ -11,8 +11,10 @@
 class member_recorder::implementation
     : public std::enable_shared_from_this<implementation> {
  public:
-  implementation(store::row_store& rows, event_log& log)
-      : rows_(rows), log_(log) {}
+  implementation(store::row_store& rows,
+                 event_log& log,
+                 member_recorder_listener* listener)
+      : rows_(rows), log_(log), listener_(listener) {}
 
   void OnList(const std::string& name,
               const std::vector<replication::server_entry>& listed,
@@ -76,6 +78,11 @@
       group.recorded = each.value;
       if (const auto members = DecodeMembers(name, each.value)) {
         group.history.OnRecorded(*members, now);
+        for (const replication::server_entry& member : *members) {
+          if (listener_ != nullptr) {
+            listener_->OnMemberRecorded(name, member);
+          }
+        }
       }
     }
     row.value = EncodeMembers(group.history.Members());
@@ -106,11 +113,14 @@
 
   store::row_store& rows_;
   event_log& log_;
+  member_recorder_listener* listener_;
   std::map<std::string, recorded_group> groups_;
 };
 
-member_recorder::member_recorder(store::row_store& rows, event_log& log)
-    : implementation_(std::make_shared<implementation>(rows, log)) {}
+member_recorder::member_recorder(store::row_store& rows,
+                                 event_log& log,
+                                 member_recorder_listener* listener)
+    : implementation_(std::make_shared<implementation>(rows, log, listener)) {}
 
 member_recorder::~member_recorder() = default;
 
--- a/plantaintiller/gateway/member_recorder.h
+++ b/plantaintiller/gateway/member_recorder.h
@@ -11,13 +11,25 @@
 
 namespace plantaintiller::gateway {
 
+/// Receives the servers that the store names as members of a group.
+class member_recorder_listener {
+ public:
+  virtual ~member_recorder_listener() = default;
+  /// Called for each member when the group's row was read.
+  virtual void OnMemberRecorded(const std::string& group,
+                                const replication::server_entry& member) = 0;
+};
+
 /// Records in the store which servers of each group may have confirmed commits.
 /// An instance that starts while one of them is not listed finds it there when
 /// it changes the primary.
 class member_recorder {
  public:
   /// References must outlive the recorder.
-  member_recorder(store::row_store& rows, event_log& log);
+  /// @param listener may be null; otherwise it must outlive the recorder.
+  member_recorder(store::row_store& rows,
+                  event_log& log,
+                  member_recorder_listener* listener = nullptr);
   ~member_recorder();
 
   /// Called with each list of servers that this instance adopts. Writes the
--- a/plantaintiller/replication/group_state.cpp
+++ b/plantaintiller/replication/group_state.cpp
@@ -101,7 +101,7 @@
   }
   if (!has_list_) {
     // A change that is under way was announced before this instance started.
-    OnChangeAnnounced(now);
+    change_announced_at_ = now;
   }
   has_list_ = true;
   KeepUnlistedLeader(next, now);
@@ -151,7 +151,7 @@
 }
 
 bool group_state::IsChangeRecent(core::time_point now) const {
-  return change_announced_at_ != core::time_point{} &&
+  return change_began_at_ != core::time_point{} &&
          now - change_announced_at_ < kChangeContinuation;
 }
 
@@ -159,7 +159,10 @@
                             core::time_point now) const {
   const auto found = servers_.find(server);
   if (found == servers_.end()) {
-    return false;
+    // Its entry lapsed. It is a member for as long as it is remembered.
+    const auto removed = removed_.find(server);
+    return removed != removed_.end() && !removed->second.entry.draining &&
+           now - removed->second.since < kRemovedMemberTrust;
   }
   const core::time_point decided = IsChangeRecent(now) ? change_began_at_ : now;
   return found->second.listed_since == core::time_point{} ||
--- a/plantaintiller/replication/group_state.h
+++ b/plantaintiller/replication/group_state.h
@@ -75,6 +75,11 @@
   /// all is never further behind than this.
   static constexpr core::milliseconds kRemovedRetention{30000};
 
+  /// How long a server that left the list while it did not drain counts as one
+  /// that every instance knows: as above, less the time within which others may
+  /// have seen it leave earlier.
+  static constexpr core::milliseconds kRemovedMemberTrust{25000};
+
   /// Age of a list up to which a promotion may rely on it. Lists are read once
   /// a second.
   static constexpr core::milliseconds kMaxListAgeForChange{2000};
@@ -156,9 +161,10 @@
   /// Called when some instance, this one included, changes the leader.
   void OnChangeAnnounced(core::time_point now);
   /// @return whether a server was listed long enough that every instance which
-  /// changes the leader knows it. During a change it must have been so when the
-  /// change began: a promotion may be carried out seconds after its order, and
-  /// what it was decided on is as old.
+  /// changes the leader knows it, or was removed by a lapse of its entry.
+  /// During a change it must have been so when the change began: a promotion
+  /// may be carried out seconds after its order, and what it was decided on is
+  /// as old.
   bool IsSettled(const std::string& server, core::time_point now) const;
   /// @return whether the leader may be about to be replaced, so that the
   /// acknowledgement of a commit does not prove that its server still leads.
@@ -330,7 +336,8 @@
   core::duration list_suspended_{0};
   core::time_point store_heard_at_;
   core::time_point change_announced_at_;
-  /// First announcement of the change that was announced last.
+  /// First announcement of the change that was announced last; the epoch if
+  /// none was heard.
   core::time_point change_began_at_;
   /// Server that answered that it is not the leader while the list still named
   /// it as leader.
--- a/plantaintiller/replication/leadership_check.cpp
+++ b/plantaintiller/replication/leadership_check.cpp
@@ -127,6 +127,12 @@
       Query(id);
     }
   }
+  for (const auto& [id, removed] : group_.RemovedServers()) {
+    if (!group_.Servers().contains(id) && group_.IsSettled(id, host_.Now())) {
+      receivers_.push_back(id);
+      Query(id);
+    }
+  }
 }
 
 void leadership_check::Query(const std::string& server) {
--- a/tests/replication/leadership_check_test.cpp
+++ b/tests/replication/leadership_check_test.cpp
@@ -449,6 +449,28 @@
   CHECK(second_read.results == results{leadership_result::kUnproven});
 }
 
+// Otherwise writes stop while the only replica that receives them does not
+// reach the store (test_unlisted_replica).
+TEST_CASE("leadership_check: a replica whose entry lapsed confirms a commit") {
+  check_fixture world;
+  world.List({"a", "c"});
+  result_listener commit;
+  world.check.Request("a", commit, acknowledged_commit{{3, 20}, true});
+  server_status has = Replica(3);
+  has.received = {3, 20};
+  world.Answer("b", has);
+  CHECK(commit.results == results{leadership_result::kConfirmed});
+}
+
+TEST_CASE("leadership_check: a replica that left as planned confirms none") {
+  check_fixture world;
+  world.List({"a", "b", "c"}, "b");
+  world.List({"a", "c"});
+  result_listener commit;
+  world.check.Request("a", commit, acknowledged_commit{{3, 20}, true});
+  CHECK_FALSE(world.queries.contains("b"));
+}
+
 // A silent replica makes reads fail at once for a while. A commit that another
 // replica has is passed on all the same.
 TEST_CASE("leadership_check: a failed round does not hold up a commit") {
