--- a/tests/replication/group_state_test.cpp
+++ b/tests/replication/group_state_test.cpp
@@ -317,6 +317,20 @@
   CHECK_FALSE(group.IsLeadershipInDoubt(now + group_state::kChangeNotice));
 }
 
+// Guards against commits in doubt for 5 s after a start of all in place of 3 s:
+// the first list was taken for the beginning of a change.
+TEST_CASE("group_state: a server of the first list is settled after 3 s") {
+  const core::time_point now{std::chrono::hours(1)};
+  const milliseconds unix_now{std::chrono::hours(2)};
+  server_entry young = Entry("b", "near", false);
+  young.born_ms = unix_now.count() - 1000;
+  group_state group{"g"};
+  group.OnList({Entry("a", "near", true), young}, kZones, now, unix_now);
+  CHECK_FALSE(
+      group.IsSettled("b", now + group_state::kSettlingTime - milliseconds(1)));
+  CHECK(group.IsSettled("b", now + group_state::kSettlingTime));
+}
+
 // An instance that is cut off from the store and from the others hears of no
 // change and of no server that joins.
 TEST_CASE(
