--- a/plantaintiller/gateway/caller_connection.cpp
+++ b/plantaintiller/gateway/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "plantaintiller/gateway/caller_connection.h"
 
 #include <array>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -70,6 +71,9 @@
   /// any more, and closes the session.
   void RefuseForwarded();
   bool IsInputFull() const;
+  /// Logs the requests that arrive after the session was closed and so get no
+  /// answer, and drops them.
+  void DropInput();
   void OnDrained();
   void End();
 
@@ -87,6 +91,9 @@
   std::string input_;
   bool reading_ = false;
   bool closing_ = false;
+  core::time_point closed_at_;
+  /// Why the session was closed; a string of static storage.
+  const char* close_reason_ = "session_ended";
   bool closing_when_idle_ = false;
   bool ended_ = false;
 };
@@ -126,7 +133,7 @@
 
 void caller_implementation::OnBytes() {
   if (closing_) {
-    input_.clear();
+    DropInput();
     return;
   }
   if (session_ == nullptr && forwarded_ == nullptr) {
@@ -146,6 +153,24 @@
   }
 }
 
+void caller_implementation::DropInput() {
+  while (const auto message = environment_.Callers().Take(input_)) {
+    if (message->kind == sessions::caller_message::message_kind::kTerminate) {
+      break;
+    }
+    environment_.Metrics().Count("requests_dropped");
+    log_line(environment_.Log(), "router", "dropped")
+        .With("request", message->request.id)
+        .With("database", database_)
+        .With("detail", close_reason_)
+        .With("closed_us",
+              std::chrono::duration_cast<std::chrono::microseconds>(
+                  core::clock::now() - closed_at_)
+                  .count());
+  }
+  input_.clear();
+}
+
 void caller_implementation::OnFirstMessage() {
   std::string rest = input_;
   const std::optional<sessions::caller_message> message =
@@ -243,6 +268,7 @@
                                     sessions::FailureName(lost.Code()));
     Send(lost.Answer());
   }
+  close_reason_ = "home_lost";
   forwarded_.reset();
   Finish();
 }
@@ -258,6 +284,7 @@
       (forwarded_ != nullptr &&
        (forwarded_->InTransaction() || !forwarded_->Unanswered().empty()));
   if (!busy) {
+    close_reason_ = "shutdown";
     Finish();
   }
 }
@@ -275,6 +302,7 @@
     return;
   }
   closing_ = true;
+  closed_at_ = core::clock::now();
   if (writer_.Pending() == 0) {
     OnDrained();
   }
--- a/plantaintiller/gateway/gateway.cpp
+++ b/plantaintiller/gateway/gateway.cpp
@@ -44,6 +44,7 @@
   remote_sessions_.Listen(settings_.peers.host, settings_.forwarding_port);
   watch_.Start();
   registry_.Start();
+  stall_monitor_.Start();
   context_.run();
   log_line(log_, "instance", "stop").With("instance", settings_.instance);
   return 0;
@@ -173,6 +174,7 @@
 
 void gateway::implementation::FinishStop() {
   stop_timer_.cancel();
+  stall_monitor_.Stop();
   watch_.Stop();
   limits_.Stop();
   exchange_.Stop();
--- a/plantaintiller/gateway/gateway_implementation.h
+++ b/plantaintiller/gateway/gateway_implementation.h
@@ -36,6 +36,7 @@
 #include "plantaintiller/gateway/member_recorder.h"
 #include "plantaintiller/gateway/peer_exchange.h"
 #include "plantaintiller/gateway/server_list_history.h"
+#include "plantaintiller/gateway/stall_monitor.h"
 #include "plantaintiller/gateway/statement_metrics.h"
 #include "plantaintiller/gateway/store_watch.h"
 #include "plantaintiller/http/server.h"
@@ -347,6 +348,7 @@
   gateway_dependencies dependencies_;
   event_log log_;
   statement_metrics metrics_;
+  stall_monitor stall_monitor_{context_, log_, metrics_};
   access_log access_log_{log_, metrics_};
   admission::admission_metrics admission_metrics_;
   admission_services admission_services_{admission_metrics_, *this};
