--- a/plantaintiller/gateway/caller_connection.cpp
+++ b/plantaintiller/gateway/caller_connection.cpp
@@ -147,8 +147,8 @@
 
 void caller_implementation::OnBytes() {
   if (phase_ == phase::kFinished) {
-    ReportDropped(environment_, database_,
-                  core::clock::now() - finished_at_, input_);
+    ReportDropped(environment_, database_, core::clock::now() - finished_at_,
+                  input_);
     input_.clear();
     return;
   }
