--- a/tests/sessions/prepared_name_test.cpp
+++ b/tests/sessions/prepared_name_test.cpp
@@ -11,6 +11,12 @@
         PreparedName(true, "qmg5m6uwjcxhvl"));
 }
 
+// A digest of 128 bits resists 2^64 trials of one who looks for two shapes with
+// one name; a collision must stay out of reach.
+TEST_CASE("prepared name: it holds a digest of 256 bits") {
+  CHECK(PreparedName(true, "q2c").size() == 1 + 256 / 4);
+}
+
 TEST_CASE(
     "prepared name: a statement that writes differs from one that reads") {
   CHECK(PreparedName(true, "q2c") != PreparedName(false, "q2c"));
