--- a/plantaintiller/sessions/session_ending.h
+++ b/plantaintiller/sessions/session_ending.h
@@ -15,6 +15,7 @@
 /// It is therefore told by a failure that answers no request: if it has sent
 /// nothing, it closes the connection; otherwise it takes the failure as the
 /// beginning of the answer, whose end follows when the request has arrived.
+/// Then it is told again.
 class session_ending {
  public:
   /// @param code what the failures promise; nothing of the requests is run.
@@ -31,8 +32,8 @@
   /// @return the answers; empty if there is nothing to answer.
   std::string Refuse(std::string& input);
 
-  /// @return whether a whole message has arrived, so that the caller has an
-  /// answer after which it expects the end of the connection.
+  /// @return whether the connection may be closed: the caller expects it, or
+  /// goes on to send requests although it was told.
   bool IsComplete() const { return complete_; }
   /// @return ids of the requests refused since the last call.
   std::vector<std::string> TakeRefused();
@@ -40,12 +41,17 @@
   const std::string& Reason() const { return reason_; }
 
  private:
+  /// Refusals after which a caller that goes on is disconnected. One that reads
+  /// its connection learns of the end with the first one.
+  static constexpr int kMaxRefusals = 3;
+
   caller_codec& codec_;
   failure_code code_;
   std::string reason_;
   /// Whether the failure of the next request has been sent.
   bool failure_sent_ = false;
   bool complete_ = false;
+  int refusals_ = 0;
   std::vector<std::string> refused_;
 };
 
--- a/plantaintiller/sessions/session_host.h
+++ b/plantaintiller/sessions/session_host.h
@@ -89,12 +89,17 @@
   /// Sends bytes to the caller.
   virtual void Reply(const std::string& bytes) = 0;
   /// Called when the session is refused because of its caller's key. Input that
-  /// was received behind the refused message is to be dropped.
+  /// was received behind the refused message is not to be run.
   virtual void OnAccessRefused(const accounts::caller_identity& identity,
                                accounts::access reason,
                                const std::string& database) = 0;
   /// Closes the caller's connection once the bytes sent before are written.
   virtual void Close() = 0;
+  /// Ends the session after an answer, although the caller has not asked for
+  /// it and may have sent its next request.
+  /// @param code what the failures of further requests promise.
+  /// @param reason text of these failures.
+  virtual void EndIdle(failure_code code, std::string_view reason) = 0;
   /// Calls `OnTimer` once at the given time; replaces an earlier request.
   virtual void SetTimer(core::time_point when) = 0;
   /// Cancels the last `SetTimer`.
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -305,7 +305,7 @@
     return;
   }
   LogRequest("close", "leader_unproven");
-  host_.Close();
+  host_.EndIdle(failure_code::kBusy, "leader_unproven");
 }
 
 void session_engine::EndRequest() {
--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -123,6 +123,7 @@
     refused_access = reason;
   }
   void Close() override { closed = true; }
+  void EndIdle(sessions::failure_code, std::string_view) override { Close(); }
   void SetTimer(core::time_point when) override { timer = when; }
   void ClearTimer() override { timer.reset(); }
   void OnNotLeader(const std::string&, const std::string& server) override {
--- a/tests/sessions/session_ending_test.cpp
+++ b/tests/sessions/session_ending_test.cpp
@@ -28,7 +28,7 @@
   CHECK(test.Refuse("").empty());
   CHECK_FALSE(test.ending.IsComplete());
   CHECK(test.Refuse("QUERY 7 READ a\r\n") == "READY I -\r\n");
-  CHECK(test.ending.IsComplete());
+  CHECK_FALSE(test.ending.IsComplete());
   CHECK(test.ending.TakeRefused() == std::vector<std::string>{"7"});
   CHECK(test.ending.TakeRefused().empty());
 }
@@ -41,6 +41,8 @@
   test.ending.Notice();
   CHECK(test.Refuse(two) == "READY I -\r\n" + refusal);
   CHECK(test.ending.TakeRefused().size() == 4);
+  // This caller goes on although it was told.
+  CHECK(test.ending.IsComplete());
 }
 
 TEST_CASE("session_ending: a part of a message is kept") {
