--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -123,7 +123,10 @@
     refused_access = reason;
   }
   void Close() override { closed = true; }
-  void EndIdle(sessions::failure_code, std::string_view) override { Close(); }
+  void EndIdle(sessions::failure_code, std::string_view reason) override {
+    Close();
+    told_reason = reason;
+  }
   void SetTimer(core::time_point when) override { timer = when; }
   void ClearTimer() override { timer.reset(); }
   void OnNotLeader(const std::string&, const std::string& server) override {
@@ -156,6 +159,8 @@
   std::optional<accounts::access> refused_access;
   std::string replies;
   bool closed = false;
+  /// Why the session has ended, if its caller was told apart from the answer.
+  std::string told_reason;
   bool permits_free = true;
   int checks_requested = 0;
   /// Commit of the last check.
--- a/tests/platform/session_lines_test.cpp
+++ b/tests/platform/session_lines_test.cpp
@@ -148,6 +148,15 @@
   CHECK(session.host.closed);
 }
 
+// A request sent upon the last answer of such a session got none (the class of
+// LOST, inc1 of wirnik-diag-grown).
+TEST_CASE("a caller that is sent elsewhere is told apart from the answer") {
+  session_fixture session("primary");
+  StartLeaderRead(session);
+  session.EndCheck(replication::leadership_result::kUnproven);
+  CHECK(session.host.told_reason == "leader_unproven");
+}
+
 TEST_CASE(
     "a caller is sent to other instances after its transaction has ended") {
   session_fixture session("primary");
