Log and count set-up that a server refuses

A refused SET, RESET or PREPARE left no line, so that the logs could not tell a statement that ran without its set-up from one whose set-up was taken back.

router set_up_refused names the request, the server and the code. Counters: set_ups (requests whose connection had to be set up) and set_up_refusals.

--- a/plantaintiller/gateway/caller_session.h
+++ b/plantaintiller/gateway/caller_session.h
@@ -110,6 +110,9 @@
                       const char* failure) override {
     environment_.Metrics().OnAnswer(route, at_leader, took, failure);
   }
+  void CountEvent(const char* name) override {
+    environment_.Metrics().Count(name);
+  }
 
   // connection_waiter
   sessions::reply_listener& Listener() override { return engine_; }
--- a/plantaintiller/sessions/session_attempts.cpp
+++ b/plantaintiller/sessions/session_attempts.cpp
@@ -110,6 +110,9 @@
       commands += 1;
     }
   }
+  if (commands > 0) {
+    host_.CountEvent("set_ups");
+  }
   return commands;
 }
 
--- a/plantaintiller/sessions/session_host.h
+++ b/plantaintiller/sessions/session_host.h
@@ -21,7 +21,8 @@
 
 /// Log entry about one step of a request.
 struct request_log_entry {
-  /// Name of the step: "sent", "retry", "answer" or "refuse".
+  /// Name of the step: "sent", "set_up_refused", "retry", "answer" or
+  /// "refuse".
   const char* event = "";
   std::string_view request;
   std::string_view database;
@@ -123,6 +124,9 @@
                               bool at_leader,
                               core::duration took,
                               const char* failure) = 0;
+  /// Counts an event that is no answer to a caller.
+  /// @param name of the metric, a string of static storage.
+  virtual void CountEvent(const char* name) = 0;
 };
 
 }  // namespace plantaintiller::sessions
--- a/plantaintiller/sessions/session_replies.cpp
+++ b/plantaintiller/sessions/session_replies.cpp
@@ -49,6 +49,8 @@
         begin_failed_ = true;
         begin_failure_ = failure_code::kNoStatement;
         connection_->State().is_known = false;
+        LogRequest("set_up_refused", FailureName(reply.failure));
+        host_.CountEvent("set_up_refusals");
       }
       break;
     case command_kind::kBegin:
--- a/tests/platform/session_fixture.h
+++ b/tests/platform/session_fixture.h
@@ -143,6 +143,7 @@
                       bool,
                       core::duration,
                       const char*) override {}
+  void CountEvent(const char* name) override { events[name] += 1; }
 
   std::string TakeReplies() { return std::exchange(replies, ""); }
 
@@ -173,6 +174,8 @@
   std::vector<std::string> not_leader;
   std::vector<std::string> unresponsive;
   std::vector<std::string> logged_events;
+  /// Counted events by name.
+  std::map<std::string, int> events;
 };
 
 /// A session with its host, driven by protocol lines.
