--- a/plantaintiller/sessions/session_leader_checks.cpp
+++ b/plantaintiller/sessions/session_leader_checks.cpp
@@ -8,7 +8,8 @@
 
 namespace plantaintiller::sessions {
 
-void session_engine::SendLeaderRead(std::string out) {
+void session_engine::SendLeaderRead() {
+  std::string out;
   host_.Servers().AppendBegin(out, false, std::nullopt);
   outstanding_.push_back(command_kind::kBegin);
   host_.Servers().AppendRollback(out);
--- a/plantaintiller/sessions/session_retries.cpp
+++ b/plantaintiller/sessions/session_retries.cpp
@@ -177,6 +177,11 @@
       ReleaseConnection(release_kind::kBroken);
       Retry("proof_timeout", !NeedsLeader());
       return;
+    case phase::kSettingUp:
+      ReportUnresponsive(sent_, balancing::request_outcome::kTimedOut);
+      ReleaseConnection(release_kind::kBroken);
+      FailTransaction("timeout");
+      return;
     case phase::kRunning:
       OnRunningTimeout();
       return;
@@ -219,6 +224,7 @@
       RefuseUnsent();
       return;
     case phase::kBeginning:
+    case phase::kSettingUp:
     case phase::kRunning:
     case phase::kCheckingLeader:
       return;
--- a/tests/gateway/server_link_test.cpp
+++ b/tests/gateway/server_link_test.cpp
@@ -127,6 +127,22 @@
   CHECK(test.listener.idle == 1);
 }
 
+// The second answer to an earlier command was taken for the success of refused
+// set-up, and the next statement ran with other values (PINNED).
+TEST_CASE(
+    "server link: set-up that may be answered by a repetition is tested") {
+  const std::string done = "COMPLETE -\r\nREADY I 1.1";
+  acquired_link test;
+  test.Exchange("QUERY - SET x 4", command_kind::kSetting, done);
+  test.Send("QUERY - SET x 5", command_kind::kSetting);
+  test.Answer(done);
+  CHECK(test.TakeLine() == "QUERY - PAUSE 0");
+  CHECK(test.session.replies == 1);
+  test.Answer("ERROR BUSY full\r\nREADY I 1.1");
+  test.RunUntil([&] { return test.listener.closed == 1; });
+  CHECK(test.session.replies == 1);
+}
+
 // A connection that a refused statement had left in a failed transaction was
 // given to another client, whose statements were refused as malformed.
 TEST_CASE("server link: a failed transaction is rolled back before reuse") {
@@ -154,6 +170,20 @@
   CHECK(test.listener.idle == 1);
 }
 
+// Guards against the answer of a read that ran in the empty transaction which
+// tests its leader, because the roll-back before it was refused.
+TEST_CASE("server link: a read behind a refused roll-back has no answer") {
+  acquired_link test;
+  test.link->Send("QUERY - BEGIN\r\nQUERY - ROLLBACK\r\nQUERY 7 READ k\r\n",
+                  {command_kind::kBegin, command_kind::kRollback,
+                   command_kind::kStatement});
+  test.Answer("COMPLETE -\r\nREADY T 1.1");
+  test.Answer("ERROR BUSY full\r\nREADY T 1.1");
+  test.Answer("DATAROW v\r\nCOMPLETE r.7\r\nREADY T 1.1");
+  test.RunUntil([&] { return test.listener.closed == 1; });
+  CHECK(test.session.outcomes == std::vector<std::string>{"-"});
+}
+
 // A late second answer was passed on as the answer to the next statement, and
 // each caller from then on got that of the one before (MIXED).
 TEST_CASE("server link: a second answer is not that of the next statement") {
--- a/tests/soak/database_group.py
+++ b/tests/soak/database_group.py
@@ -55,6 +55,8 @@
         # Its reports do not reach the store while this is set.
         self.cut_from_store = False
         self.answer_loss_probability = self.answer_cut_probability = 0.0
+        # Share of the queries that are refused as busy; its reports say ready.
+        self.busy_probability = 0.0
         self.incarnation = int(time.time() * 1000)
         self.connections = set()
         self.listener = None
@@ -162,7 +164,10 @@
                 return
             query_id, _, text = rest.partition(" ")
             server.group.accounts[query_id] = self.account
-            answer = await self.execute(query_id, text)
+            if server.group.draw_with_probability(server.busy_probability):
+                answer = ["ERROR BUSY shed"]
+            else:
+                answer = await self.execute(query_id, text)
             answer_lost = query_id != "-" and server.group.draw_with_probability(
                 server.answer_loss_probability
             )
