--- a/plantaintiller/sessions/connection_set_up.h
+++ b/plantaintiller/sessions/connection_set_up.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
--- a/plantaintiller/sessions/session_engine.h
+++ b/plantaintiller/sessions/session_engine.h
@@ -120,6 +120,7 @@
     /// Failed, and reported to the caller.
     kFailed,
   };
+
   void OnStart(const caller_message& message);
   void OnStatement(const statement& request);
   /// Handles SET, PREPARE and DEALLOCATE, which the session answers itself.
@@ -210,8 +211,11 @@
   void SendCommands(const std::string& bytes);
   void SendWithPermit();
   void SendStatement(std::optional<core::log_position> at_least);
+  /// Called with the answer to one command of the set-up.
   void OnSetUpAnswer(const server_reply& reply);
   void OnBeginAnswered();
+  /// Called when BEGIN or the set-up before it was refused; no statement was
+  /// sent.
   void OnBeginRefused();
   /// Called when set-up in an open transaction has been answered.
   /// @param state of the connection.
